--- /dev/null
+++ b/internal/controller/brain.go
@@ -0,0 +1,467 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"eiderhitch/internal/cloud"
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/fleet"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// brain is the actor's state. Only the actor's goroutine touches it.
+type brain struct {
+	cfg   *config.Platform
+	log   *slog.Logger
+	boot  string
+	ctx   context.Context
+	inbox chan func()
+	// cloudQ holds calls to the cloud that wait for their turn.
+	cloudQ chan func()
+	st     *store.Client
+	wr     *store.Writer
+	cl     *cloud.Client
+	fl     *fleet.Client
+	now    time.Time // of the event in work
+	hold   time.Duration
+	lease  time.Duration // a worker's lease, with drift and margin
+
+	// The replica.
+	loaded    bool
+	cursor    uint64
+	freshAt   time.Time // start of the last successful read
+	startedAt time.Time
+	vers      map[string]uint64
+	dropped   map[string]uint64 // tombstones until the cursor has passed them
+	jobs      map[string]*job
+	recs      []*rec // by dense index; nil where deleted
+	recByKey  map[string]*rec
+	types     map[string]*wire.MachineType
+	typesKey  bool
+	holders   map[string]holder
+	gone      map[string]time.Time
+	teams     map[string]int32
+	maxRec    int
+
+	// Reads on behalf of users.
+	reading   bool
+	lastRead  time.Time
+	readNext  []chan error
+	readTimer bool
+
+	rights   map[string]*right
+	parts    []*part
+	machines map[string]*machine
+	byIdx    []*machine
+	siblings map[string]*sibling
+	senders  []*mesh.Sender
+	lead     leader
+	outcomes map[core.Task]outcome
+	stepDue  bool
+	// yieldUntil: this controller gave its rights up and takes none before then.
+	yieldUntil time.Time
+	metrics    metrics
+}
+
+// sibling is what another controller told last.
+type sibling struct {
+	status *mesh.Status
+	at     time.Time
+	since  time.Time // since when it has been heard without a gap
+}
+
+// right is a leased key that this process holds or is about to.
+type right struct {
+	key    string
+	stamp  uint64 // of the write that gave it; 0: not held
+	lease  uint64
+	busy   bool
+	freeAt time.Time // since when the key is seen vacant
+	rest   time.Time // not taken before then: it was given back
+}
+
+// part is one hash part of the machines.
+type part struct {
+	n      int
+	term   uint64 // stamp of our holding; 0: not ours
+	since  time.Time
+	active bool // replica was read after the take-over
+	cells  *core.Part
+	alloc  map[core.Task]alloc
+	raise  bool
+	raised time.Time
+	// wasOurs: it was taken over from this node's own former process or vacant
+	// key; old is how long a former owner may go on answering reports.
+	old time.Duration
+}
+
+// alloc is a claimed cell whose binding is not stored yet.
+type alloc struct {
+	m       *machine
+	session uint64
+}
+
+// outcome is the proven end of an attempt.
+type outcome struct {
+	attempt uint64
+	done    bool
+	err     bool
+}
+
+// post runs f in the actor; it blocks while the queue is full.
+func (b *brain) post(f func()) {
+	select {
+	case b.inbox <- f:
+	case <-b.ctx.Done():
+	}
+}
+
+// ask runs f in the actor and waits for it.
+func (b *brain) ask(ctx context.Context, f func()) bool {
+	ready := make(chan struct{})
+	select {
+	case b.inbox <- func() { f(); close(ready) }:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-ready:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fresh tells whether the replica is current enough to act on: see HoldTime.
+func (b *brain) fresh(limit time.Duration) bool {
+	return b.loaded && b.now.Sub(b.freshAt) < limit
+}
+
+func (b *brain) reset(items []wire.Item, rev uint64) {
+	seen := make(map[string]bool, len(items))
+	for i := range items {
+		seen[items[i].Key] = true
+	}
+	for key, v := range b.vers {
+		if !seen[key] && v <= rev {
+			b.drop(key, rev)
+		}
+	}
+	for i := range items {
+		b.put(items[i].Key, items[i].Value, items[i].Version)
+	}
+	b.cursor = max(b.cursor, rev)
+	b.loaded = true
+}
+
+func (b *brain) events(ev *wire.Events) {
+	if ev.Revision <= b.cursor {
+		return
+	}
+	for _, e := range ev.Events {
+		if e.Delete != "" {
+			b.drop(e.Delete, e.Version)
+		} else {
+			b.put(e.Put, e.Value, e.Version)
+		}
+	}
+	b.cursor = ev.Revision
+	for k, v := range b.dropped {
+		if v <= b.cursor {
+			delete(b.dropped, k)
+		}
+	}
+}
+
+// applied takes the changes of a successful transaction of ours into the replica.
+func (b *brain) applied(u *store.Unit, rev uint64) {
+	for _, c := range u.Then {
+		if c.Delete != "" {
+			b.drop(c.Delete, rev)
+		} else {
+			b.put(c.Put, c.Value, rev)
+		}
+	}
+}
+
+// write submits a unit; then runs in the actor with the result, after the
+// replica has taken the changes in.
+func (b *brain) write(u *store.Unit, then func(err error)) {
+	u.Done = func(rev uint64, err error) {
+		// Never block the writer on a full inbox that waits for the writer.
+		go b.post(func() {
+			if err == nil {
+				b.applied(u, rev)
+			}
+			then(err)
+		})
+	}
+	if !b.wr.Submit(u) {
+		b.log.Error("write queue is full")
+		u.Done(0, store.ErrRefused)
+	}
+}
+
+func (b *brain) put(key string, raw json.RawMessage, stamp uint64) {
+	if b.vers[key] >= stamp || b.dropped[key] >= stamp {
+		return
+	}
+	b.vers[key] = stamp
+	var err error
+	switch {
+	case strings.HasPrefix(key, preGroup):
+		var v groupValue
+		if err = json.Unmarshal(raw, &v); err == nil {
+			b.putGroup(key, &v, stamp)
+		}
+	case strings.HasPrefix(key, preJob):
+		var v jobValue
+		if err = json.Unmarshal(raw, &v); err == nil {
+			b.putJob(strings.TrimPrefix(key, preJob), &v, stamp)
+		}
+	case key == keyTypes:
+		var v []wire.MachineType
+		if err = json.Unmarshal(raw, &v); err == nil {
+			b.putTypes(v)
+			b.typesKey = true
+		}
+	case strings.HasPrefix(key, preGone):
+		b.putGone(strings.TrimPrefix(key, preGone))
+	default:
+		var v holder
+		if err = json.Unmarshal(raw, &v); err == nil {
+			b.holders[key] = v
+			b.rightSeen(key, v, stamp)
+		}
+	}
+	if err != nil {
+		b.log.Error("stored record can't be decoded; it is left alone", "key", key, "err", err)
+	}
+}
+
+func (b *brain) drop(key string, stamp uint64) {
+	if b.vers[key] > stamp {
+		return
+	}
+	if stamp > b.cursor {
+		b.dropped[key] = stamp
+	}
+	if _, ok := b.vers[key]; !ok {
+		return
+	}
+	delete(b.vers, key)
+	switch {
+	case strings.HasPrefix(key, preGroup):
+		if r := b.recByKey[key]; r != nil {
+			b.unlinkGroup(r)
+			delete(r.job.recs, r.k)
+			delete(b.recByKey, key)
+			b.recs[r.idx] = nil
+		}
+	case strings.HasPrefix(key, preGone):
+		delete(b.gone, strings.TrimPrefix(key, preGone))
+	default:
+		delete(b.holders, key)
+		b.rightDropped(key)
+	}
+}
+
+func (b *brain) job(id string) *job {
+	j := b.jobs[id]
+	if j == nil {
+		j = &job{id: id}
+		b.jobs[id] = j
+	}
+	return j
+}
+
+func (b *brain) putJob(id string, v *jobValue, stamp uint64) {
+	j := b.job(id)
+	j.stamp, j.fate = stamp, v.Fate
+	if v.Job != nil {
+		j.spec = v.Job
+		j.at = time.UnixMilli(v.At)
+		j.need = core.Amount(v.Job.CPUs, v.Job.GPUs, v.Job.RAM)
+		j.team = b.team(v.Job.Team)
+	}
+	if j.fate != live {
+		b.retire(j)
+		for _, r := range j.recs {
+			b.cancelClaims(r)
+			for i := range r.entries {
+				if m := r.entries[i].m; m != nil {
+					b.kick(m)
+				}
+			}
+		}
+	}
+	b.step()
+}
+
+// retire drops what a final job needs no more; its fate is kept for ever.
+func (b *brain) retire(j *job) {
+	if j.fate != live && len(j.recs) == 0 {
+		j.spec, j.recs, j.loc = nil, nil, nil
+	}
+}
+
+func (b *brain) team(name string) int32 {
+	t, ok := b.teams[name]
+	if !ok {
+		t = int32(len(b.teams))
+		b.teams[name] = t
+	}
+	return t
+}
+
+func (b *brain) putTypes(list []wire.MachineType) {
+	b.types = map[string]*wire.MachineType{}
+	for i := range list {
+		b.types[list[i].Name] = &list[i]
+	}
+	for _, m := range b.machines {
+		b.sizeMachine(m)
+	}
+	b.step()
+}
+
+func (b *brain) putGone(name string) {
+	b.gone[name] = b.now
+	m := b.machines[name]
+	if m == nil {
+		return
+	}
+	m.gone = true
+	b.endAll(m, "machine is gone")
+	b.step()
+}
+
+// splitGroupKey takes a group record's key apart.
+func splitGroupKey(key string) (id string, k int, ok bool) {
+	id, num, ok := strings.Cut(strings.TrimPrefix(key, preGroup), "/")
+	k, err := strconv.Atoi(num)
+	return id, k, ok && err == nil
+}
+
+func (b *brain) putGroup(key string, v *groupValue, stamp uint64) {
+	id, k, ok := splitGroupKey(key)
+	if !ok {
+		b.log.Error("stored key is malformed; it is left alone", "key", key)
+		return
+	}
+	r := b.recByKey[key]
+	if r == nil {
+		j := b.job(id)
+		r = &rec{key: key, idx: int32(len(b.recs)), k: k, job: j, since: b.now, part: -1}
+		b.recs = append(b.recs, r)
+		b.recByKey[key] = r
+		if j.recs == nil {
+			j.recs, j.loc = map[int]*rec{}, map[int32]*rec{}
+		}
+		j.recs[k] = r
+	}
+	if r.part != v.Part {
+		if r.part >= 0 {
+			b.cancelClaims(r)
+		}
+		r.since = b.now
+	}
+	b.unlinkGroup(r)
+	r.stamp, r.part, r.zone, r.own, r.done = stamp, v.Part, v.Zone, v.Own, v.Done
+	r.entries = make([]entry, 0, len(v.Tasks))
+	for _, x := range v.Tasks {
+		e := entry{num: x.Num, attempt: x.Attempt, session: x.Session}
+		if x.Machine != "" {
+			e.m = b.machine(x.Machine)
+			e.m.bound[r.task(x.Num)] = r
+		}
+		r.entries = append(r.entries, e)
+		r.job.loc[x.Num] = r
+	}
+	b.adopt(r)
+	b.step()
+}
+
+func (b *brain) unlinkGroup(r *rec) {
+	for i := range r.entries {
+		e := &r.entries[i]
+		if e.m != nil {
+			delete(e.m.bound, r.task(e.num))
+		}
+		if r.job.loc[e.num] == r {
+			delete(r.job.loc, e.num)
+		}
+	}
+}
+
+// adopt brings the cells of a part of ours in line with a stored record.
+func (b *brain) adopt(r *rec) {
+	if r.part < 0 || r.part >= len(b.parts) {
+		b.log.Error("record names a part that does not exist", "key", r.key, "part", r.part)
+		return
+	}
+	if r.job.spec == nil {
+		return
+	}
+	for i := range r.entries {
+		e := &r.entries[i]
+		if e.m == nil {
+			continue
+		}
+		p := b.parts[partOf(e.m.name, len(b.parts))]
+		if p.term == 0 {
+			continue
+		}
+		t := r.task(e.num)
+		if o, ok := b.outcomes[t]; ok && o.attempt == e.attempt {
+			continue // its cell is free already, on proof
+		}
+		delete(p.alloc, t)
+		p.cells.Adopt(t, e.m.idx, r.job.need, r.claim())
+	}
+}
+
+// cancelClaims gives up what a record's tasks claim without a stored binding.
+func (b *brain) cancelClaims(r *rec) {
+	if r.part < 0 || r.part >= len(b.parts) {
+		return
+	}
+	p := b.parts[r.part]
+	if p.term == 0 {
+		return
+	}
+	for i := range r.entries {
+		t := r.task(r.entries[i].num)
+		if g := p.cells.Waiting(t); g != nil {
+			p.cells.Cancel(g)
+		}
+		if _, ok := p.alloc[t]; ok && !r.writing {
+			delete(p.alloc, t)
+			b.freeCell(p, t)
+		}
+	}
+}
+
+// freeCell ends a task's use of its cell; a group that waited for it may now
+// be Allocated.
+func (b *brain) freeCell(p *part, t core.Task) {
+	if g := p.cells.Gone(t); g != nil {
+		b.allocated(p, g)
+	}
+}
+
+func (b *brain) allocated(p *part, g *core.Group) {
+	for i, t := range g.Tasks {
+		m := b.byIdx[g.Machines[i]]
+		p.alloc[t] = alloc{m, m.session}
+	}
+	b.step()
+}
--- /dev/null
+++ b/internal/controller/leader.go
@@ -0,0 +1,1050 @@
+package controller
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/cloud"
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// leader is what only the leader knows. It is rebuilt after a take-over.
+type leader struct {
+	term     uint64
+	active   bool
+	since    time.Time
+	writes   int // in flight
+	rented   map[string]*rented
+	leaving  map[string]bool // being released
+	idle     map[string]time.Time
+	refused  map[core.Offer]time.Time // no requests before then
+	backoff  map[core.Offer]time.Duration
+	renting  map[core.Offer]int
+	rentals  int
+	listAt   time.Time
+	listBusy bool
+	typesAt  time.Time
+}
+
+// rented is a machine that the cloud has given us, as far as the leader knows.
+type rented struct {
+	typ, zone string
+	spot      bool
+	since     time.Time
+	up        bool // it has reported to its owner
+	listed    bool
+}
+
+func (b *brain) leaderGained(stamp uint64) {
+	b.lead = leader{term: stamp, since: b.now, rented: map[string]*rented{}, leaving: map[string]bool{}, idle: map[string]time.Time{},
+		refused: map[core.Offer]time.Time{}, backoff: map[core.Offer]time.Duration{}, renting: map[core.Offer]int{}}
+	// A former leader's late writes fail by its key's version; what it did
+	// store is read before anything is dealt.
+	b.readThen(func() {
+		if b.lead.term == stamp {
+			b.lead.active = true
+		}
+	})
+}
+
+// leads tells whether this controller acts as the leader now.
+func (b *brain) leads() bool { return b.lead.active && b.fresh(rightTTL) }
+
+// hosts are the machines that owners vouch for, with what is bound on them.
+func (b *brain) hosts() []*core.Host {
+	var out []*core.Host
+	add := func(m *machine, flags uint8) {
+		t := b.types[m.typ]
+		if t == nil || m.gone || b.lead.leaving[m.name] {
+			return
+		}
+		if r := b.lead.rented[m.name]; r != nil {
+			r.up = true
+		} else {
+			b.lead.rented[m.name] = &rented{typ: m.typ, zone: m.zone, spot: m.spot, since: b.now, up: true}
+		}
+		if flags&mesh.Up == 0 || flags&(mesh.Warned|mesh.Suspect|mesh.Silent) != 0 {
+			return
+		}
+		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
+		h := &core.Host{ID: m.idx, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: partOf(m.name, len(b.parts)), Size: size, Free: size}
+		for _, r := range m.bound {
+			if r.job.spec == nil {
+				continue
+			}
+			h.Free = h.Free.Minus(r.job.need)
+			h.Claims = append(h.Claims, core.HeldCell{Claim: r.claim(), Size: r.job.need})
+		}
+		out = append(out, h)
+	}
+	for _, p := range b.parts {
+		if p.term != 0 {
+			if !p.active {
+				continue
+			}
+			for _, m := range b.byIdx {
+				if partOf(m.name, len(b.parts)) == p.n && m.heard.After(p.since) {
+					add(m, b.flags(m, p))
+				}
+			}
+			continue
+		}
+		h := b.holders[partKey(p.n)]
+		s := b.siblings[h.Node]
+		if s == nil || s.status == nil || b.now.Sub(s.at) > 4*time.Second {
+			continue
+		}
+		for i := range s.status.Machines {
+			x := &s.status.Machines[i]
+			if partOf(x.Name, len(b.parts)) != p.n {
+				continue
+			}
+			m := b.machine(x.Name)
+			m.typ, m.zone, m.spot, m.addr = x.Type, x.Zone, x.Flags&mesh.Spot != 0, x.Addr
+			add(m, x.Flags)
+		}
+	}
+	return out
+}
+
+// flags are what an owner says of its machine.
+func (b *brain) flags(m *machine, p *part) uint8 {
+	var f uint8
+	if b.up(m, p) {
+		f |= mesh.Up
+	}
+	if !m.notice.IsZero() {
+		f |= mesh.Warned
+	}
+	if m.suspect {
+		f |= mesh.Suspect
+	}
+	if m.spot {
+		f |= mesh.Spot
+	}
+	if b.silent(m, p) {
+		f |= mesh.Silent
+	}
+	return f
+}
+
+// silent: the machine neither reports nor answers direct commands, while most
+// others of the part do.
+func (b *brain) silent(m *machine, p *part) bool {
+	if m.gone || b.now.Sub(b.heardSince(m, p)) < b.silentAfter() || b.now.Sub(m.probeOK) < b.silentAfter() {
+		return false
+	}
+	quiet, all := 0, 0
+	for _, o := range b.byIdx {
+		if o.gone || o.heard.IsZero() || partOf(o.name, len(b.parts)) != p.n || b.now.Sub(o.heard) > 2*time.Minute {
+			continue
+		}
+		all++
+		if b.now.Sub(b.heardSince(o, p)) > b.silentAfter() {
+			quiet++
+		}
+	}
+	// A machine whose lease is over has lost its tasks anyhow.
+	return quiet*2 <= all || b.leaseOver(m, p)
+}
+
+// status tells the siblings about this controller and its machines.
+func (b *brain) status() *mesh.Status {
+	s := &mesh.Status{Node: b.cfg.Name, Fresh: b.fresh(rightTTL), Able: b.able()}
+	for _, p := range b.parts {
+		if p.term == 0 || !p.active {
+			continue
+		}
+		s.Parts = append(s.Parts, uint64(p.n))
+		for _, m := range b.byIdx {
+			if m.gone || !m.heard.After(p.since) && len(m.bound) == 0 || m.session == 0 || partOf(m.name, len(b.parts)) != p.n ||
+				b.now.Sub(b.heardSince(m, p)) > 3*time.Minute {
+				continue
+			}
+			s.Machines = append(s.Machines, mesh.Machine{Name: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Session: m.session, Flags: b.flags(m, p)})
+		}
+	}
+	return s
+}
+
+// takeStatus takes a sibling's status in.
+func (b *brain) takeStatus(s *mesh.Status) {
+	x := b.siblings[s.Node]
+	if x == nil {
+		return // not one of ours
+	}
+	if b.now.Sub(x.at) > 2500*time.Millisecond {
+		x.since = b.now
+	}
+	x.status, x.at = s, b.now
+}
+
+// want is a number of like tasks that found no room: one decision for all.
+type want struct {
+	job     *wire.Job
+	zone    string
+	need    core.Res
+	count   int
+	service bool
+	windowS float64
+}
+
+// lead deals work to parts and rents and returns machines.
+func (b *brain) leadStep() {
+	if !b.leads() {
+		return
+	}
+	b.finishJobs()
+	if b.lead.writes > 0 {
+		return
+	}
+	hosts := b.hosts()
+	wants := b.deal(hosts)
+	b.provision(hosts, wants)
+}
+
+// finishJobs ends jobs whose tasks are all done and clears up behind final ones.
+func (b *brain) finishJobs() {
+	budget := 8
+	for _, j := range b.jobs {
+		if budget == 0 {
+			return
+		}
+		if j.stamp == 0 || len(j.recs) == 0 {
+			continue
+		}
+		if j.fate == live {
+			n, finished := j.dealt()
+			if j.spec != nil && !j.spec.Service && !j.ending && n == finished && finished == j.spec.Tasks {
+				budget--
+				j.ending = true
+				b.write(&store.Unit{
+					If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}},
+					Then: []wire.Change{{Put: jobKey(j.id), Value: mustJSON(jobValue{Fate: done})}},
+				}, func(error) { j.ending = false })
+			}
+			continue
+		}
+		for _, r := range j.recs {
+			if budget == 0 || r.writing || r.bound() > 0 {
+				continue
+			}
+			budget--
+			r.writing = true
+			b.write(&store.Unit{
+				If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: r.key, Version: r.stamp}},
+				Then: []wire.Change{{Delete: r.key}},
+			}, func(error) { r.writing = false; b.retire(j) })
+		}
+	}
+}
+
+func (b *brain) limits() []core.Limit {
+	out := make([]core.Limit, len(b.teams))
+	for i := range b.cfg.Settings.Teams {
+		t := &b.cfg.Settings.Teams[i]
+		out[b.team(t.Name)] = core.Limit{Guarantee: core.Amount(t.CPUs, t.GPUs, 0), Max: core.Amount(t.CPUsMax, t.GPUsMax, 0)}
+	}
+	for _, r := range b.recs {
+		if r == nil || r.job.spec == nil {
+			continue
+		}
+		// A dealt task counts for its team's limit whether it runs or not; one
+		// of a cancelled job until it is proven gone.
+		n := len(r.entries)
+		if r.job.fate != live {
+			n = r.bound()
+		}
+		l := &out[r.job.team]
+		use := r.job.need.Times(n)
+		l.Used = l.Used.Plus(use)
+		if r.own {
+			l.OwnUsed = l.OwnUsed.Plus(use)
+		}
+	}
+	return out
+}
+
+// deal gives waiting tasks to parts that have room for them, highest claims
+// first, and returns what found none.
+func (b *brain) deal(hosts []*core.Host) []want {
+	var wants []want
+	var jobs []*job
+	var stuck []*rec
+	lost := map[*rec]int{}
+	var recs []*rec
+	for _, r := range b.recs {
+		if r != nil && r.job.fate == live && r.job.spec != nil && r.job.stamp != 0 {
+			recs = append(recs, r)
+		}
+	}
+	byUrgency := func(x, y *job) int {
+		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), x.at.Compare(y.at), cmp.Compare(x.id, y.id))
+	}
+	slices.SortFunc(recs, func(x, y *rec) int { return cmp.Or(byUrgency(x.job, y.job), cmp.Compare(x.k, y.k)) })
+	for _, r := range recs {
+		n := len(r.entries) - r.bound()
+		if n == 0 {
+			continue
+		}
+		spec := r.job.spec
+		in := func(h *core.Host) bool {
+			return h.Part == r.part && !h.Booting && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
+		}
+		for _, k := range core.Take(hosts, in, r.job.need, n) {
+			n -= k
+		}
+		for n > 0 && spec.Priority > 0 && core.Evictable(hosts, in, r.job.need, r.claim()) != nil {
+			n--
+		}
+		if n > 0 {
+			stuck = append(stuck, r)
+			lost[r] = n
+		}
+	}
+	for _, r := range stuck {
+		spec := r.job.spec
+		n := lost[r]
+		if !r.writing && b.now.Sub(r.since) > time.Second && b.moveStuck(hosts, r, n) {
+			continue
+		}
+		wants = append(wants, want{job: spec, zone: r.zone, need: r.job.need, count: n, service: spec.Service, windowS: b.window(r.job)})
+	}
+	for _, j := range b.jobs {
+		if j.fate == live && j.spec != nil && j.stamp != 0 {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, byUrgency)
+	limits := b.limits()
+	for _, j := range jobs {
+		dealt, _ := j.dealt()
+		if left := j.spec.Tasks - dealt; left > 0 {
+			if w := b.dealJob(hosts, limits, j, dealt, left); w.count > 0 {
+				wants = append(wants, w)
+			}
+		}
+	}
+	return wants
+}
+
+// window is the time within which an array's waiting tasks should be through.
+func (b *brain) window(j *job) float64 {
+	if j.spec.Service {
+		return 0
+	}
+	w := max(2*j.spec.EstimateS, 30)
+	if !j.spec.NoDeadline {
+		slack := j.spec.DeadlineS - b.now.Sub(j.at).Seconds()
+		w = min(w, max(slack*0.6, 10))
+	}
+	return w
+}
+
+// dealJob deals as many of a job's tasks as there is room for now.
+func (b *brain) dealJob(hosts []*core.Host, limits []core.Limit, j *job, dealt, left int) want {
+	spec := j.spec
+	lim := &limits[j.team]
+	room := lim.Room(j.need, left)
+	if spec.Service && room < left {
+		room = 0 // a service is dealt whole
+	}
+	if room == 0 {
+		return want{}
+	}
+	own := lim.OwnRoom(j.need, room)
+	claim := core.Claim{Level: spec.Priority, Own: own > 0, Team: j.team}
+	var chunks []groupValue
+	next := int32(dealt)
+	add := func(part int, zone string, n int) {
+		for n > 0 {
+			k := min(n, b.maxRec)
+			g := groupValue{Part: part, Zone: zone}
+			if own > 0 {
+				k = min(k, own)
+				own -= k
+				g.Own = true
+			}
+			for range k {
+				g.Tasks = append(g.Tasks, entryValue{Num: next})
+				next++
+			}
+			n -= k
+			chunks = append(chunks, g)
+		}
+	}
+	got := 0
+	for _, zone := range b.zonesFor(j, hosts) {
+		n := room - got
+		if spec.Spread {
+			n = min(n, b.spreadRoom(j, zone, chunks))
+		}
+		if n <= 0 {
+			continue
+		}
+		can := func(h *core.Host) bool { return !h.Booting && allowed(spec, zone, h.Type, h.Zone, h.Spot) }
+		if spec.Service {
+			// The whole service in one part, so that its cells are reserved
+			// together; its part's owner evicts where there is no free room.
+			part, ok := b.servicePart(hosts, can, j.need, n, claim)
+			if !ok {
+				continue
+			}
+			add(part, zone, n)
+			got += n
+			continue
+		}
+		perPart := make([]int, len(b.parts))
+		for h, k := range core.Take(hosts, can, j.need, n) {
+			perPart[h.Part] += k
+		}
+		for got2 := 0; got2 < n; got2++ {
+			h := core.Evictable(hosts, can, j.need, claim)
+			if h == nil || h.Free.Plus(j.need) == h.Size {
+				break
+			}
+			perPart[h.Part]++
+			if sum(perPart) >= n {
+				break
+			}
+		}
+		for part, k := range perPart {
+			k = min(k, room-got)
+			if k > 0 {
+				add(part, zone, k)
+				got += k
+			}
+		}
+		if got == room {
+			break
+		}
+	}
+	use := j.need.Times(got)
+	lim.Used = lim.Used.Plus(use)
+	k := 0
+	for id := range j.recs {
+		k = max(k, id+1)
+	}
+	for i := range chunks {
+		g := chunks[i]
+		if g.Own {
+			lim.OwnUsed = lim.OwnUsed.Plus(j.need.Times(len(g.Tasks)))
+		}
+		key := groupKey(j.id, k+i)
+		b.lead.writes++
+		term := b.lead.term
+		b.write(&store.Unit{
+			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}, {Key: key}},
+			Then: []wire.Change{{Put: key, Value: mustJSON(g)}},
+		}, func(err error) { b.leadWrote(term, err) })
+	}
+	if got > 0 {
+		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
+	}
+	w := want{job: spec, need: j.need, count: room - got, service: spec.Service, windowS: b.window(j)}
+	if spec.OneZone {
+		w.zone = b.pinned(j)
+	}
+	return w
+}
+
+func sum(xs []int) int {
+	n := 0
+	for _, x := range xs {
+		n += x
+	}
+	return n
+}
+
+// leadWrote counts a leader's write off. After a failed one the replica is
+// read before anything more is dealt: it may have been applied all the same.
+func (b *brain) leadWrote(term uint64, err error) {
+	if b.lead.term != term {
+		return
+	}
+	if err == nil {
+		b.lead.writes--
+		return
+	}
+	b.readThen(func() {
+		if b.lead.term == term {
+			b.lead.writes--
+		}
+	})
+}
+
+// pinned is the zone that a samePlace job's tasks are in already.
+func (b *brain) pinned(j *job) string {
+	for _, r := range j.recs {
+		if r.zone != "" {
+			return r.zone
+		}
+	}
+	return ""
+}
+
+// zonesFor lists the zones to try; "" stands for any.
+func (b *brain) zonesFor(j *job, hosts []*core.Host) []string {
+	if !j.spec.OneZone && !j.spec.Spread {
+		return []string{""}
+	}
+	if z := b.pinned(j); z != "" && j.spec.OneZone {
+		return []string{z}
+	}
+	free := map[string]int{}
+	for _, h := range hosts {
+		if allowed(j.spec, "", h.Type, h.Zone, h.Spot) {
+			free[h.Zone] += h.Free.Fits(j.need, j.spec.Tasks)
+		}
+	}
+	var zones []string
+	for z := range free {
+		zones = append(zones, z)
+	}
+	slices.SortFunc(zones, func(x, y string) int { return cmp.Or(cmp.Compare(free[y], free[x]), cmp.Compare(x, y)) })
+	if j.spec.OneZone && len(zones) > 1 {
+		return zones[:1]
+	}
+	return zones
+}
+
+// spreadRoom is how many more tasks may go to a zone: half of all, rounded up.
+func (b *brain) spreadRoom(j *job, zone string, more []groupValue) int {
+	n := (j.spec.Tasks + 1) / 2
+	for _, r := range j.recs {
+		if r.zone == zone {
+			n -= len(r.entries)
+		}
+	}
+	for _, g := range more {
+		if g.Zone == zone {
+			n -= len(g.Tasks)
+		}
+	}
+	return n
+}
+
+// servicePart chooses the part for a whole service.
+func (b *brain) servicePart(hosts []*core.Host, can func(*core.Host) bool, need core.Res, n int, c core.Claim) (int, bool) {
+	free := make([]int, len(b.parts))
+	for _, h := range hosts {
+		if can(h) {
+			free[h.Part] += h.Free.Fits(need, n)
+		}
+	}
+	// Round robin over parts that have room would scatter; the part of the
+	// fullest machine that fits keeps machines packed.
+	if n == 1 {
+		for h := range core.Take(hosts, can, need, 1) {
+			return h.Part, true
+		}
+		if h := core.Evictable(hosts, can, need, c); h != nil {
+			return h.Part, true
+		}
+		return 0, false
+	}
+	best := 0
+	for p := range free {
+		if free[p] > free[best] {
+			best = p
+		}
+	}
+	inBest := func(h *core.Host) bool { return h.Part == best && can(h) }
+	if free[best] >= n {
+		core.Take(hosts, inBest, need, n)
+		return best, true
+	}
+	for p := range free {
+		in := func(h *core.Host) bool { return h.Part == p && can(h) }
+		trial := cloneHosts(hosts)
+		got := 0
+		for _, k := range core.Take(trial, in, need, n) {
+			got += k
+		}
+		for got < n && core.Evictable(trial, in, need, c) != nil {
+			got++
+		}
+		if got == n {
+			for i := range hosts {
+				*hosts[i] = *trial[i]
+			}
+			return p, true
+		}
+	}
+	return 0, false
+}
+
+func cloneHosts(hosts []*core.Host) []*core.Host {
+	out := make([]*core.Host, len(hosts))
+	for i, h := range hosts {
+		c := *h
+		out[i] = &c
+	}
+	return out
+}
+
+// moveStuck gives waiting tasks of a record whose part has no room to a part
+// that has. Its owner's writes lose by the record's version.
+func (b *brain) moveStuck(hosts []*core.Host, r *rec, n int) bool {
+	spec := r.job.spec
+	if spec.Service && n < len(r.entries) && r.bound() == 0 {
+		n = len(r.entries) // a service that has not started moves whole
+	}
+	perPart := make([]int, len(b.parts))
+	can := func(h *core.Host) bool {
+		return !h.Booting && h.Part != r.part && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
+	}
+	trial := cloneHosts(hosts)
+	for h, k := range core.Take(trial, can, r.job.need, n) {
+		perPart[h.Part] += k
+	}
+	best, most := -1, 0
+	for p, k := range perPart {
+		if k > most {
+			best, most = p, k
+		}
+	}
+	if best < 0 && n == 1 {
+		if h := core.Evictable(trial, can, r.job.need, r.claim()); h != nil {
+			best, most = h.Part, 1
+		}
+	}
+	if best < 0 || spec.Service && r.bound() == 0 && most < n {
+		return false
+	}
+	var move, stay []entry
+	for _, e := range r.entries {
+		if e.m == nil && len(move) < most {
+			move = append(move, e)
+		} else {
+			stay = append(stay, e)
+		}
+	}
+	if len(move) == 0 {
+		return false
+	}
+	in := func(h *core.Host) bool { return h.Part == best && can(h) }
+	core.Take(hosts, in, r.job.need, len(move))
+	k := 0
+	for id := range r.job.recs {
+		k = max(k, id+1)
+	}
+	moved := *r
+	moved.part = best
+	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
+	if len(stay) == 0 {
+		u.Then = []wire.Change{{Put: r.key, Value: moved.value(r.done, move)}}
+	} else {
+		key := groupKey(r.job.id, k)
+		u.If = append(u.If, wire.Condition{Key: key})
+		u.Then = []wire.Change{{Put: r.key, Value: r.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
+	}
+	b.log.Debug("tasks move to another part", "job", r.job.id, "tasks", len(move), "part", best)
+	b.lead.writes++
+	term := b.lead.term
+	b.write(u, func(err error) { b.leadWrote(term, err) })
+	return true
+}
+
+// provision rents for what found no room and returns what is not wanted.
+func (b *brain) provision(hosts []*core.Host, wants []want) {
+	if len(b.types) == 0 {
+		return
+	}
+	all := append(hosts, b.booting()...)
+	offers := b.offers()
+	plan := map[core.Offer]int{}
+	serve := func(w want) {
+		n := w.count
+		if !w.service && w.windowS > 0 {
+			n = min(n, int(math.Ceil(float64(n)*max(w.job.EstimateS, 5)/w.windowS)))
+		}
+		ok := func(h *core.Host) bool { return allowed(w.job, w.zone, h.Type, h.Zone, h.Spot) }
+		for _, k := range core.Take(all, ok, w.need, n) {
+			n -= k
+		}
+		if n <= 0 {
+			return
+		}
+		var fitting []core.Priced
+		for _, o := range offers {
+			if allowed(w.job, w.zone, o.Type, o.Zone, o.Spot) {
+				fitting = append(fitting, o)
+			}
+		}
+		o, k := core.Choose(fitting, w.need, n, 100)
+		if k == 0 {
+			return
+		}
+		for range k {
+			h := &core.Host{ID: -1, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Size: o.Size, Free: o.Size, Booting: true}
+			all = append(all, h)
+		}
+		for _, got := range core.Take(all, ok, w.need, n) {
+			n -= got
+		}
+		plan[o.Offer] += k
+	}
+	for _, w := range wants {
+		serve(w)
+	}
+	for _, w := range b.headroom() {
+		serve(w)
+	}
+	for o, n := range plan {
+		b.rent(o, min(n, 50))
+	}
+	b.returnIdle(hosts)
+}
+
+// headroom keeps room for services to come: the number of services that run at
+// a time varies by about its square root.
+func (b *brain) headroom() []want {
+	byClass := map[string]*want{}
+	var order []string
+	for _, j := range b.jobs {
+		if j.fate != live || j.spec == nil || !j.spec.Service {
+			continue
+		}
+		w := byClass[j.spec.Class]
+		if w == nil {
+			w = &want{job: j.spec, need: j.need, service: true}
+			byClass[j.spec.Class] = w
+			order = append(order, j.spec.Class)
+		}
+		w.count += j.spec.Tasks
+	}
+	slices.Sort(order)
+	var out []want
+	for _, c := range order {
+		w := byClass[c]
+		w.count = int(math.Ceil(math.Sqrt(float64(w.count))))
+		out = append(out, *w)
+	}
+	return out
+}
+
+// bootLimit is how long a machine may take to come up before it is given back.
+func bootLimit(t *wire.MachineType) time.Duration { return config.Seconds(2.5*t.BootS + 10) }
+
+// booting are machines that are rented and have not reported yet.
+func (b *brain) booting() []*core.Host {
+	var out []*core.Host
+	for name, r := range b.lead.rented {
+		t := b.types[r.typ]
+		if r.up || t == nil || b.lead.leaving[name] || b.now.Sub(r.since) > bootLimit(t) {
+			continue
+		}
+		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
+		out = append(out, &core.Host{ID: -1, Type: r.typ, Zone: r.zone, Spot: r.spot, Size: size, Free: size, Booting: true})
+	}
+	for o, n := range b.lead.renting {
+		t := b.types[o.Type]
+		for range n {
+			size := core.Amount(t.CPUs, t.GPUs, t.RAM)
+			out = append(out, &core.Host{ID: -1, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Size: size, Free: size, Booting: true})
+		}
+	}
+	return out
+}
+
+func (b *brain) offers() []core.Priced {
+	var out []core.Priced
+	for _, t := range b.types {
+		for _, z := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				o := core.Offer{Type: t.Name, Zone: z, Spot: spot}
+				if b.now.Before(b.lead.refused[o]) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				out = append(out, core.Priced{Offer: o, Size: core.Amount(t.CPUs, t.GPUs, t.RAM), Price: price, BootS: t.BootS})
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y core.Priced) int {
+		return cmp.Or(cmp.Compare(x.Type, y.Type), cmp.Compare(x.Zone, y.Zone), boolCmp(x.Spot, y.Spot))
+	})
+	return out
+}
+
+// rent asks the cloud for machines. The name is unique for all time: the
+// leader's term never comes again.
+func (b *brain) rent(o core.Offer, n int) {
+	if b.lead.renting[o] > 0 {
+		return
+	}
+	b.lead.rentals++
+	term := b.lead.term
+	req := wire.RentRequest{Request: fmt.Sprintf("r-%d-%d", term, b.lead.rentals), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: n}
+	b.lead.renting[o] = n
+	started := b.now
+	b.cloudCall(func() {
+		names, err := b.cl.Rent(b.ctx, req)
+		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) && !errors.Is(err, cloud.ErrRefused) {
+			names, err = b.cl.Rent(b.ctx, req) // unanswered: the same name rents nothing twice
+		}
+		b.post(func() {
+			if b.lead.term != term {
+				return
+			}
+			delete(b.lead.renting, o)
+			if err == nil {
+				for _, name := range names {
+					if b.lead.rented[name] == nil {
+						b.lead.rented[name] = &rented{typ: o.Type, zone: o.Zone, spot: o.Spot, since: started}
+					}
+				}
+				b.log.Info("machines rented", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", n, "got", len(names))
+			}
+			if err == nil && len(names) == n {
+				delete(b.lead.backoff, o)
+				return
+			}
+			// Each type, zone and kind is refused apart from the others.
+			d := min(max(2*b.lead.backoff[o], 5*time.Second), 40*time.Second)
+			if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+				d = 3 * time.Second
+			}
+			b.lead.backoff[o], b.lead.refused[o] = d, b.now.Add(d)
+			b.log.Debug("rental not filled", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", n, "err", err)
+		})
+	})
+}
+
+// cloudCall queues a call to the cloud; false if too many wait.
+func (b *brain) cloudCall(f func()) bool {
+	select {
+	case b.cloudQ <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// idleFor is how long a machine may be unused before it is returned.
+func (b *brain) idleFor(t *wire.MachineType) time.Duration { return 15 * time.Second }
+
+// returnIdle releases machines that are idle, overdue, silent or suspect.
+func (b *brain) returnIdle(hosts []*core.Host) {
+	var names []string
+	wanted := map[string]bool{}
+	for _, h := range hosts {
+		m := b.byIdx[h.ID]
+		if len(m.bound) > 0 || h.Touched {
+			wanted[m.name] = true
+			continue
+		}
+		t := b.lead.idle[m.name]
+		if t.IsZero() {
+			b.lead.idle[m.name] = b.now
+		} else if b.now.Sub(t) > b.idleFor(b.types[m.typ]) {
+			names = append(names, m.name)
+		}
+	}
+	for name := range wanted {
+		delete(b.lead.idle, name)
+	}
+	for name, r := range b.lead.rented {
+		t := b.types[r.typ]
+		if !r.up && t != nil && b.now.Sub(r.since) > bootLimit(t) {
+			names = append(names, name)
+		}
+	}
+	bad := func(m *machine, flags uint8) {
+		if flags&mesh.Silent != 0 || flags&mesh.Suspect != 0 && (len(m.bound) == 0 || b.now.Sub(m.suspectAt) > 15*time.Second) {
+			names = append(names, m.name)
+		}
+	}
+	b.eachVouched(bad)
+	b.release(names)
+}
+
+// eachVouched calls f for each machine that its owner tells about.
+func (b *brain) eachVouched(f func(*machine, uint8)) {
+	for _, p := range b.parts {
+		if p.term != 0 && p.active {
+			for _, m := range b.byIdx {
+				if partOf(m.name, len(b.parts)) == p.n && !m.gone && (!m.heard.IsZero() || len(m.bound) > 0) && b.now.Sub(b.heardSince(m, p)) < 3*time.Minute {
+					f(m, b.flags(m, p))
+				}
+			}
+			continue
+		}
+		if s := b.siblings[b.holders[partKey(p.n)].Node]; s != nil && s.status != nil && b.now.Sub(s.at) < 3*time.Second {
+			for i := range s.status.Machines {
+				if x := &s.status.Machines[i]; partOf(x.Name, len(b.parts)) == p.n {
+					if m := b.machine(x.Name); !m.gone {
+						if x.Flags&mesh.Suspect != 0 && m.suspectAt.IsZero() {
+							m.suspectAt = b.now
+						}
+						f(m, x.Flags)
+					}
+				}
+			}
+		}
+	}
+}
+
+// release returns machines. Once the cloud has answered they are gone with all
+// that was on them, which is stored for their parts' owners to act on.
+func (b *brain) release(names []string) {
+	names = slices.DeleteFunc(names, func(n string) bool { return b.lead.leaving[n] })
+	slices.Sort(names)
+	names = slices.Compact(names)
+	if len(names) == 0 {
+		return
+	}
+	names = names[:min(len(names), cloud.MaxRelease)]
+	for _, n := range names {
+		b.lead.leaving[n] = true
+	}
+	term := b.lead.term
+	if !b.cloudCall(func() {
+		err := b.cl.Release(b.ctx, names)
+		b.post(func() {
+			if b.lead.term != term {
+				return
+			}
+			if err != nil {
+				b.log.Debug("release failed", "machines", len(names), "err", err)
+				for _, n := range names {
+					delete(b.lead.leaving, n)
+				}
+				return
+			}
+			b.log.Info("machines released", "machines", names)
+			b.markGone(names)
+		})
+	}) {
+		for _, n := range names {
+			delete(b.lead.leaving, n)
+		}
+	}
+}
+
+// markGone stores that machines are gone.
+func (b *brain) markGone(names []string) {
+	for _, n := range names {
+		r := b.lead.rented[n]
+		delete(b.lead.rented, n)
+		delete(b.lead.idle, n)
+		if r != nil && !r.up && len(b.machine(n).bound) == 0 {
+			b.machine(n).gone = true // it never was: nobody needs to know
+			continue
+		}
+		term := b.lead.term
+		b.write(&store.Unit{
+			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: preGone + n}},
+			Then: []wire.Change{{Put: preGone + n, Value: mustJSON(true)}},
+		}, func(err error) {
+			if err != nil && b.lead.term == term {
+				delete(b.lead.leaving, n) // it stays silent and is released again
+			}
+		})
+	}
+}
+
+// tendCloud keeps the list of machines and the types current.
+func (b *brain) tendCloud() {
+	if b.now.Sub(b.lead.typesAt) > time.Minute || len(b.types) == 0 && b.now.Sub(b.lead.typesAt) > 2*time.Second {
+		if b.leads() || len(b.types) == 0 && b.loaded {
+			b.lead.typesAt = b.now
+			b.cloudCall(b.fetchTypes)
+		}
+	}
+	if !b.leads() {
+		return
+	}
+	every := max(config.Seconds(b.cfg.Settings.Cloud.ListLagS)/2, 2*time.Second)
+	if !b.lead.listBusy && b.now.Sub(b.lead.listAt) > every {
+		b.lead.listBusy, b.lead.listAt = true, b.now
+		term := b.lead.term
+		if !b.cloudCall(func() {
+			list, err := b.cl.List(b.ctx)
+			b.post(func() {
+				if b.lead.term != term {
+					return
+				}
+				b.lead.listBusy = false
+				if err != nil {
+					b.log.Debug("machine list", "err", err)
+					return
+				}
+				b.takeList(list)
+			})
+		}) {
+			b.lead.listBusy = false
+		}
+	}
+	// Gone markers have served once nothing is bound to the machine any more.
+	budget := 4
+	for n, at := range b.gone {
+		if m := b.machines[n]; budget > 0 && b.now.Sub(at) > 2*time.Minute+4*config.Seconds(b.cfg.Settings.Cloud.ListLagS) && (m == nil || len(m.bound) == 0) {
+			budget--
+			b.write(&store.Unit{
+				If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}},
+				Then: []wire.Change{{Delete: preGone + n}},
+			}, func(error) {})
+		}
+	}
+}
+
+func (b *brain) fetchTypes() {
+	list, err := b.cl.Types(b.ctx)
+	b.post(func() {
+		if err != nil || len(list) == 0 {
+			b.log.Debug("machine types", "err", err)
+			return
+		}
+		b.putTypes(list)
+		if !b.typesKey {
+			b.typesKey = true
+			b.write(&store.Unit{If: []wire.Condition{{Key: keyTypes}}, Then: []wire.Change{{Put: keyTypes, Value: mustJSON(list)}}}, func(error) {})
+		}
+	})
+}
+
+// takeList takes the cloud's list in: machines that failed are gone, ones that
+// nobody knows of are used.
+func (b *brain) takeList(list []wire.CloudMachine) {
+	var failed []string
+	lag := config.Seconds(2 * b.cfg.Settings.Cloud.ListLagS)
+	listed := map[string]bool{}
+	for i := range list {
+		x := &list[i]
+		listed[x.Name] = true
+		if m := b.machines[x.Name]; m != nil && m.gone || b.lead.leaving[x.Name] {
+			continue
+		}
+		if x.State == wire.MachineFailed {
+			failed = append(failed, x.Name)
+			continue
+		}
+		r := b.lead.rented[x.Name]
+		if r == nil {
+			r = &rented{typ: x.Type, zone: x.Zone, spot: x.Spot, since: b.now.Add(-config.Seconds(x.AgeS))}
+			b.lead.rented[x.Name] = r
+		}
+		r.listed = true
+	}
+	for name, r := range b.lead.rented {
+		// One that was listed and is no more has been taken; one that never was
+		// after twice the lag does not exist.
+		if !listed[name] && (r.listed || b.now.Sub(r.since) > lag+10*time.Second) && !r.up {
+			delete(b.lead.rented, name)
+		}
+	}
+	b.release(failed)
+}
--- /dev/null
+++ b/internal/controller/machine.go
@@ -0,0 +1,417 @@
+package controller
+
+import (
+	"net/http"
+	"time"
+
+	"eiderhitch/internal/api"
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/wire"
+)
+
+// machine is what a controller knows of one machine.
+type machine struct {
+	name, addr, typ, zone string
+	spot                  bool
+	idx                   int32
+	bound                 map[core.Task]*rec // by stored bindings
+	gone                  bool
+
+	// Known to the owner, from reports.
+	session, seq uint64
+	token        uint64
+	heard        time.Time // last report
+	answered     time.Time // last time we sent a 200, which may have renewed its lease
+	notice       time.Time // when the cloud takes it; zero: no notice
+	tasks        []wire.TaskReport
+	images       map[string]bool
+	cooling      time.Time // nothing is placed on it before then
+	failed       map[string]bool
+	suspect      bool
+	suspectAt    time.Time
+
+	// Direct commands.
+	doBusy  bool
+	doStart bool   // the one in flight carries a start
+	doAgain bool   // more came up while one was in flight
+	openDo  uint64 // term of a start that went unanswered
+	// respOpen: an answer to a report carries a start, and no later report has
+	// come yet. The worker handles one report at a time, so the next one proves
+	// that the answer was executed or dropped; until then the start may still
+	// arrive, and neither absence nor a reap is safe.
+	respOpen bool
+	doRest   time.Time // no direct commands before then
+	probeOK  time.Time
+}
+
+func (b *brain) machine(name string) *machine {
+	m := b.machines[name]
+	if m == nil {
+		m = &machine{name: name, idx: int32(len(b.byIdx)), bound: map[core.Task]*rec{}, images: map[string]bool{}, failed: map[string]bool{}}
+		_, m.gone = b.gone[name]
+		b.machines[name] = m
+		b.byIdx = append(b.byIdx, m)
+	}
+	return m
+}
+
+// sizeMachine makes a machine's cells known to its part once its type is.
+func (b *brain) sizeMachine(m *machine) {
+	p := b.parts[partOf(m.name, len(b.parts))]
+	t := b.types[m.typ]
+	if p.term == 0 || t == nil || m.gone || m.heard.IsZero() {
+		return
+	}
+	p.cells.SetMachine(m.idx, core.Amount(t.CPUs, t.GPUs, t.RAM))
+}
+
+// silentAfter is how long a machine may be quiet before it counts as silent. It
+// is well above what a worker needs to find its node's successor (an answer
+// outstanding for 4 s, then 1 s to the next).
+func (b *brain) silentAfter() time.Duration {
+	w := &b.cfg.Settings.Workers
+	return max(3*config.Seconds(w.ReportS), config.Seconds(0.6*w.LeaseS), 7*time.Second)
+}
+
+func (b *brain) heardSince(m *machine, p *part) time.Time {
+	if m.heard.After(p.since) {
+		return m.heard
+	}
+	return p.since
+}
+
+// up tells whether an owner may place on its machine.
+func (b *brain) up(m *machine, p *part) bool {
+	return !m.gone && m.heard.After(p.since) && m.session > 0 &&
+		b.now.Sub(m.heard) < max(2*config.Seconds(b.cfg.Settings.Workers.ReportS), 3*time.Second)
+}
+
+// leaseOver tells whether a machine's lease has surely ended: nobody has sent
+// it an answer that could renew it for a whole lease, a former owner included.
+func (b *brain) leaseOver(m *machine, p *part) bool {
+	last := p.since.Add(p.old)
+	if m.answered.After(last) {
+		last = m.answered
+	}
+	return b.now.Sub(last) > b.lease
+}
+
+// report takes a worker's report in and answers it.
+func (b *brain) report(r *wire.Report) api.Answer {
+	if !b.loaded {
+		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "starting"}
+	}
+	p := b.parts[partOf(r.Machine, len(b.parts))]
+	if p.term == 0 {
+		h, ok := b.holders[partKey(p.n)]
+		if !ok || h.Node == b.cfg.Name {
+			return api.Answer{Status: http.StatusServiceUnavailable, Reason: "no owner"}
+		}
+		return api.Answer{Status: http.StatusMisdirectedRequest, Body: wire.Redirect{Node: h.Node}}
+	}
+	if r.Token > p.term {
+		// A later owner has spoken to it: we have been replaced.
+		return api.Answer{Status: http.StatusMisdirectedRequest, Body: wire.Redirect{}}
+	}
+	if !b.fresh(b.hold) {
+		// See HoldTime: a user may have been told "cancelled" meanwhile.
+		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "state service out of reach"}
+	}
+	m := b.machine(r.Machine)
+	newer := b.takeReport(m, r, p, true)
+	ans := wire.ReportAnswer{Token: p.term, Commands: []wire.Command{}}
+	m.answered = b.now
+	if newer && !m.gone && p.active {
+		ans.Commands = b.commands(m, p)
+		for _, c := range ans.Commands {
+			m.respOpen = m.respOpen || c.Op == wire.OpStart
+		}
+	}
+	return api.Answer{Status: http.StatusOK, Body: ans}
+}
+
+// takeReport takes in the newest that a machine told; false if it was not new.
+func (b *brain) takeReport(m *machine, r *wire.Report, p *part, viaReport bool) bool {
+	if r.Session < m.session || r.Session == m.session && r.Seq <= m.seq {
+		return false
+	}
+	if r.Session > m.session && m.session > 0 {
+		b.log.Info("machine begins a new session", "machine", m.name, "session", r.Session)
+		m.images = map[string]bool{}
+		m.openDo, m.respOpen = 0, false // commands of an earlier session are refused
+	}
+	m.session, m.seq, m.token = r.Session, r.Seq, r.Token
+	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
+	first := m.heard.Before(p.since)
+	m.probeOK = b.now
+	if viaReport {
+		m.heard = b.now
+		m.respOpen = false
+		b.sizeMachine(m)
+	}
+	if first && viaReport {
+		b.log.Debug("machine reports", "machine", m.name, "type", m.typ, "part", p.n)
+	}
+	if r.NoticeS == nil {
+		m.notice = time.Time{}
+	} else {
+		if m.notice.IsZero() {
+			b.log.Info("machine will be taken", "machine", m.name, "notice_s", *r.NoticeS)
+		}
+		m.notice = b.now.Add(config.Seconds(*r.NoticeS))
+	}
+	m.tasks = r.Tasks
+	if p.active && !m.gone {
+		b.judge(m, p)
+	}
+	b.step()
+	return true
+}
+
+// judge draws proofs from a machine's newest report.
+func (b *brain) judge(m *machine, p *part) {
+	// An older owner's start may still be under way until the machine has
+	// shown our token; one of ours while a direct command is unanswered.
+	settled := m.token == p.term && m.openDo != p.term && !m.doStart && !m.respOpen
+	if m.openDo == p.term && m.openDo != 0 && !m.doBusy {
+		p.raise = true
+	}
+	shown := make(map[core.Task]bool, len(m.tasks))
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		j, r, e := b.lookup(t.Task)
+		if e == nil || e.m != m || e.attempt != t.Attempt || e.session != m.session {
+			continue
+		}
+		shown[r.task(e.num)] = true
+		if j.spec != nil && (t.State == wire.Running || t.State == wire.Saving) && j.spec.Image != "" {
+			m.images[j.spec.Image] = true
+		}
+		if t.State != wire.Exited {
+			continue
+		}
+		o := outcome{attempt: e.attempt, done: t.Why == wire.WhyDone && j.spec != nil && !j.spec.Service, err: t.Why == wire.WhyError}
+		if old, ok := b.outcomes[r.task(e.num)]; !ok || old.attempt != e.attempt {
+			b.taskEnded(m, j, t.Why)
+		}
+		b.end(r, e, o)
+	}
+	for t, r := range m.bound {
+		e := r.find(t.Num)
+		if e == nil || e.m != m {
+			continue
+		}
+		if e.session < m.session {
+			b.end(r, e, outcome{attempt: e.attempt}) // the earlier session killed all
+			continue
+		}
+		if !shown[t] && settled && b.wantStop(r, t, m, p) {
+			b.end(r, e, outcome{attempt: e.attempt})
+		}
+	}
+}
+
+func (b *brain) lookup(name string) (*job, *rec, *entry) {
+	id, num, ok := parseTask(name)
+	if !ok {
+		return nil, nil, nil
+	}
+	j := b.jobs[id]
+	if j == nil || j.loc == nil {
+		return nil, nil, nil
+	}
+	r := j.loc[num]
+	if r == nil {
+		return j, nil, nil
+	}
+	return j, r, r.find(num)
+}
+
+// taskEnded learns from how a task ended.
+func (b *brain) taskEnded(m *machine, j *job, why string) {
+	switch why {
+	case wire.WhyDone:
+		m.failed = map[string]bool{}
+	case wire.WhyError:
+		// A machine that fails tasks of several jobs is sick; a job that fails
+		// on several machines is its user's mistake. Until it is clear which,
+		// both rest a while: a sick machine fails what it gets at once and
+		// would else eat a whole array.
+		m.failed[j.id] = true
+		if j.failedOn == nil {
+			j.failedOn = map[string]bool{}
+		}
+		j.failedOn[m.name] = true
+		if n := len(j.failedOn); n >= 3 {
+			j.retryAt = b.now.Add(min(time.Second<<min(n-3, 5), 30*time.Second))
+		}
+		m.cooling = b.now.Add(5 * time.Second)
+		if len(m.failed) >= 2 && !m.suspect {
+			m.suspect, m.suspectAt = true, b.now
+			b.log.Info("machine fails tasks of several jobs", "machine", m.name)
+		}
+		b.log.Info("task failed", "job", j.id, "machine", m.name)
+	case wire.WhyNoRoom, wire.WhyBusy, wire.WhyUnknown:
+		m.cooling = b.now.Add(time.Second)
+		b.log.Info("start refused", "job", j.id, "machine", m.name, "why", why)
+	}
+}
+
+// end notes the proven end of an attempt; the record is rewritten in step.
+func (b *brain) end(r *rec, e *entry, o outcome) {
+	t := r.task(e.num)
+	if old, ok := b.outcomes[t]; ok && old.attempt == e.attempt {
+		return
+	}
+	b.outcomes[t] = o
+	b.freeCell(b.parts[partOf(e.m.name, len(b.parts))], t)
+	b.step()
+}
+
+// endAll ends every attempt on a machine that is gone or whose lease is over.
+func (b *brain) endAll(m *machine, why string) {
+	p := b.parts[partOf(m.name, len(b.parts))]
+	if p.term == 0 {
+		return
+	}
+	if len(m.bound) > 0 {
+		b.log.Info("tasks of a machine are lost", "machine", m.name, "tasks", len(m.bound), "why", why)
+	}
+	for t, r := range m.bound {
+		if e := r.find(t.Num); e != nil && e.m == m {
+			b.end(r, e, outcome{attempt: e.attempt})
+		}
+	}
+	for t, a := range p.alloc {
+		if a.m == m && !b.recs[t.Rec].writing {
+			delete(p.alloc, t)
+			b.freeCell(p, t)
+		}
+	}
+	p.cells.DropMachine(m.idx)
+}
+
+// wantStop tells whether a bound task should not be there.
+func (b *brain) wantStop(r *rec, t core.Task, m *machine, p *part) bool {
+	if r.job.fate != live {
+		return true
+	}
+	if c := p.cells.CellOf(t); c != nil && c.State == core.Reserving {
+		return true
+	}
+	// A task that can save is stopped before its machine is taken.
+	return !m.notice.IsZero() && r.job.spec != nil && r.job.spec.CheckS > 0 || m.suspect
+}
+
+// commands are what a machine should do, by its newest report.
+func (b *brain) commands(m *machine, p *part) []wire.Command {
+	var stops, starts []wire.Command
+	shown := make(map[core.Task]bool, len(m.tasks))
+	open := m.openDo == p.term || m.doStart || m.respOpen
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		_, r, e := b.lookup(t.Task)
+		if e == nil || e.m != m || e.attempt != t.Attempt || e.session != m.session {
+			if t.State != wire.Exited {
+				zero := 0.0
+				stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+			} else if !open && m.token == p.term {
+				// After a reap the worker knows the attempt no more, and a
+				// late start of it would run it again: only when none can come.
+				stops = append(stops, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+			}
+			continue
+		}
+		shown[r.task(e.num)] = true
+		if t.State == wire.Exited || !b.wantStop(r, r.task(e.num), m, p) {
+			continue
+		}
+		grace := 0.0
+		if r.job.fate == live && r.job.spec != nil && r.job.spec.CheckS > 0 {
+			grace = r.job.spec.SaveS
+		}
+		if t.State != wire.Saving || grace == 0 {
+			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
+		}
+	}
+	for t, r := range m.bound {
+		e := r.find(t.Num)
+		if e == nil || shown[t] || e.session != m.session || b.wantStop(r, t, m, p) {
+			continue
+		}
+		if o, ok := b.outcomes[t]; ok && o.attempt == e.attempt {
+			continue
+		}
+		starts = append(starts, wire.Command{Op: wire.OpStart, Task: taskName(r.job.id, t.Num), Attempt: e.attempt})
+	}
+	out := append(stops, starts...)
+	if out == nil {
+		out = []wire.Command{}
+	}
+	return out
+}
+
+// kick sends a machine's commands at once, without waiting for its report.
+func (b *brain) kick(m *machine) {
+	p := b.parts[partOf(m.name, len(b.parts))]
+	if p.term == 0 || !p.active || m.gone || m.addr == "" || !m.heard.After(p.since) {
+		return
+	}
+	if m.doBusy {
+		m.doAgain = true
+		return
+	}
+	if b.now.Before(m.doRest) || !b.fresh(b.hold) {
+		return
+	}
+	if cmds := b.commands(m, p); len(cmds) > 0 {
+		b.direct(m, p, cmds)
+	}
+}
+
+// ping tells a machine our token, whether it has something to do or not.
+func (b *brain) ping(m *machine, p *part) {
+	if !m.doBusy && !b.now.Before(m.doRest) && m.session > 0 && m.addr != "" && b.fresh(b.hold) {
+		b.direct(m, p, nil)
+	}
+}
+
+func (b *brain) direct(m *machine, p *part, cmds []wire.Command) {
+	m.doBusy, m.doAgain = true, false
+	for _, c := range cmds {
+		if c.Op == wire.OpStart {
+			m.doStart = true
+		}
+	}
+	term, addr := p.term, m.addr
+	d := &wire.Direct{Token: term, Session: m.session, Commands: cmds}
+	go func() {
+		r, ok, err := b.fl.Do(b.ctx, addr, d)
+		b.post(func() {
+			started := m.doStart
+			m.doBusy, m.doStart = false, false
+			if err != nil {
+				// The commands may be executed minutes from now, as long as
+				// token and session match: until a higher token is seen, no
+				// absence from a report proves anything.
+				if started {
+					m.openDo = term
+				}
+				m.doRest = b.now.Add(3 * time.Second)
+				b.log.Debug("direct command unanswered", "machine", m.name, "err", err)
+				return
+			}
+			if r.Machine != m.name {
+				return
+			}
+			if p.term != 0 && r.Token <= p.term {
+				b.takeReport(m, r, p, false)
+			}
+			if m.doAgain || !ok {
+				m.doAgain = false
+				b.kick(m)
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/internal/controller/owner.go
@@ -0,0 +1,259 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// step has the decisions taken soon: events in a burst share one pass.
+func (b *brain) step() { b.stepDue = true }
+
+// stepParts takes the decisions of all parts that are ours.
+func (b *brain) stepParts() {
+	for _, p := range b.parts {
+		if p.active && b.fresh(rightTTL) {
+			b.stepPart(p)
+		}
+	}
+}
+
+// stepPart lets the pending tasks of a part claim cells, highest claims first,
+// and stores what changed: ended attempts and new bindings.
+func (b *brain) stepPart(p *part) {
+	for _, m := range b.byIdx {
+		if (len(m.bound) > 0) && partOf(m.name, len(b.parts)) == p.n && (m.gone || b.leaseOver(m, p)) {
+			b.endAll(m, "its lease is over")
+		}
+	}
+	var mine []*rec
+	for _, r := range b.recs {
+		if r != nil && r.part == p.n && r.job.spec != nil {
+			mine = append(mine, r)
+		}
+	}
+	slices.SortFunc(mine, func(x, y *rec) int {
+		cx, cy := x.claim(), y.claim()
+		return cmp.Or(cmp.Compare(cy.Level, cx.Level), boolCmp(cy.Own, cx.Own), x.job.at.Compare(y.job.at),
+			cmp.Compare(x.job.id, y.job.id), cmp.Compare(x.k, y.k))
+	})
+	for _, r := range mine {
+		if !r.writing && r.job.fate == live && !b.now.Before(r.job.retryAt) {
+			b.place(p, r)
+		}
+	}
+	for _, r := range mine {
+		if !r.writing {
+			b.store(p, r)
+		}
+	}
+	if p.raise {
+		b.raiseTerm(p)
+	}
+}
+
+func boolCmp(x, y bool) int {
+	if x == y {
+		return 0
+	}
+	if x {
+		return 1
+	}
+	return -1
+}
+
+// place asks for cells for a record's pending tasks: all of a service's first
+// start together, everything else one by one. Tasks of one record are alike,
+// so the first that finds no room speaks for all behind it.
+func (b *brain) place(p *part, r *rec) {
+	var pending []core.Task
+	started := false
+	for i := range r.entries {
+		e := &r.entries[i]
+		t := r.task(e.num)
+		if e.attempt > 0 {
+			started = true
+		}
+		if e.m != nil {
+			continue
+		}
+		if _, ok := p.alloc[t]; ok || p.cells.Waiting(t) != nil {
+			continue
+		}
+		pending = append(pending, t)
+	}
+	if len(pending) == 0 {
+		return
+	}
+	score := b.scorer(p, r)
+	request := func(tasks ...core.Task) bool {
+		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim()}
+		p.cells.Request(g, score)
+		switch g.State {
+		case core.Allocated:
+			b.allocated(p, g)
+		case core.Preempting:
+			b.log.Debug("group preempts", "job", r.job.id, "tasks", len(tasks))
+			for _, mi := range g.Machines {
+				b.kick(b.byIdx[mi])
+			}
+		}
+		return g.State != core.Pending
+	}
+	if r.job.spec.Service && !started {
+		request(pending...)
+		return
+	}
+	for _, t := range pending {
+		if !request(t) {
+			return
+		}
+	}
+}
+
+// scorer rates machines for a record's tasks; negative: not allowed.
+func (b *brain) scorer(p *part, r *rec) core.Score {
+	j := r.job.spec
+	return func(mi int32, free core.Res) float64 {
+		m := b.byIdx[mi]
+		if !allowed(j, r.zone, m.typ, m.zone, m.spot) || !b.up(m, p) || !m.notice.IsZero() || m.suspect || b.now.Before(m.cooling) || m.failed[r.job.id] {
+			return -1
+		}
+		if b.lead.leaving[m.name] {
+			return -1
+		}
+		s := 1000.0
+		if m.images[j.Image] {
+			s -= 500
+		}
+		if m.spot {
+			s -= 200
+		}
+		// Tight packing leaves whole machines free to be returned.
+		return s + float64(min(free.CPU, 100_000))/1000
+	}
+}
+
+// allowed tells whether a job's task may be on a machine at all.
+func allowed(j *wire.Job, pinned, typ, zone string, spot bool) bool {
+	return (len(j.Types) == 0 || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) &&
+		(pinned == "" || pinned == zone) && (!spot || j.Spot)
+}
+
+// store writes what has changed of a record, if anything.
+func (b *brain) store(p *part, r *rec) {
+	var next []entry
+	doneN, changed := r.done, false
+	type used struct {
+		t core.Task
+		o outcome
+	}
+	var ended []used
+	var bound []core.Task
+	for _, e := range r.entries {
+		t := r.task(e.num)
+		if o, ok := b.outcomes[t]; ok && e.m != nil && o.attempt == e.attempt {
+			ended = append(ended, used{t, o})
+			changed = true
+			if o.done {
+				doneN++
+				continue
+			}
+			e.m, e.session = nil, 0
+			next = append(next, e)
+			continue
+		}
+		if a, ok := p.alloc[t]; ok && e.m == nil && r.job.fate == live {
+			if a.m.gone || !b.up(a.m, p) {
+				delete(p.alloc, t)
+				b.freeCell(p, t)
+			} else {
+				e.m, e.session = a.m, a.m.session
+				e.attempt++
+				bound = append(bound, t)
+				changed = true
+			}
+		}
+		next = append(next, e)
+	}
+	if !changed {
+		return
+	}
+	job := r.job
+	u := &store.Unit{If: []wire.Condition{{Key: partKey(p.n), Version: p.term}, {Key: r.key, Version: r.stamp}}}
+	if job.fate == live {
+		// Binding and completing race with a cancellation: only one can hold.
+		u.If = append(u.If, wire.Condition{Key: jobKey(job.id), Version: job.stamp})
+	}
+	u.Then = append(u.Then, wire.Change{Put: r.key, Value: r.value(doneN, next)})
+	ending := false
+	if job.fate == live && !job.ending && doneN > r.done {
+		if _, finished := job.dealt(); finished+doneN-r.done == job.spec.Tasks {
+			ending = true
+			job.ending = true
+			u.Then = append(u.Then, wire.Change{Put: jobKey(job.id), Value: mustJSON(jobValue{Fate: done})})
+		}
+	}
+	r.writing = true
+	term := p.term
+	b.write(u, func(err error) {
+		r.writing = false
+		if ending {
+			job.ending = false
+		}
+		if p.term != term && err == nil {
+			return
+		}
+		if err != nil {
+			b.log.Debug("record write failed", "key", r.key, "err", err)
+			// Not stored as far as we know: the claims are given up, and what
+			// the store really has is read before anything else is done.
+			if p.term != 0 {
+				for _, t := range bound {
+					if _, ok := p.alloc[t]; ok {
+						delete(p.alloc, t)
+						b.freeCell(p, t)
+					}
+				}
+			}
+			r.writing = true
+			b.readThen(func() { r.writing = false; b.step() })
+			return
+		}
+		for _, x := range ended {
+			if b.outcomes[x.t] == x.o {
+				delete(b.outcomes, x.t)
+			}
+		}
+		kicked := map[*machine]bool{}
+		for i := range r.entries {
+			if m := r.entries[i].m; m != nil && !kicked[m] {
+				kicked[m] = true
+				if slices.Contains(bound, r.task(r.entries[i].num)) {
+					b.kick(m)
+				}
+			}
+		}
+		b.step()
+	})
+}
+
+// probeSilent asks machines that have not reported in time directly.
+func (b *brain) probeSilent() {
+	patience := 2*time.Second + time.Duration(1.5*b.cfg.Settings.Workers.ReportS*float64(time.Second))
+	for _, p := range b.parts {
+		if !p.active {
+			continue
+		}
+		for _, m := range b.byIdx {
+			if !m.gone && !m.heard.IsZero() && partOf(m.name, len(b.parts)) == p.n &&
+				b.now.Sub(b.heardSince(m, p)) > patience && b.now.Sub(m.heard) < 3*time.Minute {
+				b.ping(m, p)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/records.go
@@ -0,0 +1,189 @@
+// Package controller wires the core to the world: one actor owns all state of
+// a controller, and goroutines for connections and long-lived duties talk to
+// it over a channel.
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/wire"
+)
+
+// Keys of the stored records.
+const (
+	prefix    = "e/"
+	keyTypes  = "e/types"
+	keyLeader = "e/leader"
+	preNode   = "e/node/"
+	prePart   = "e/part/"
+	preJob    = "e/job/"
+	preGroup  = "e/group/"
+	preGone   = "e/gone/"
+)
+
+func partKey(n int) string               { return prePart + strconv.Itoa(n) }
+func jobKey(id string) string            { return preJob + id }
+func groupKey(id string, k int) string   { return preGroup + id + "/" + strconv.Itoa(k) }
+func taskName(id string, n int32) string { return id + "/" + strconv.Itoa(int(n)) }
+
+func parseTask(s string) (id string, num int32, ok bool) {
+	id, digits, ok := strings.Cut(s, "/")
+	n, err := strconv.ParseInt(digits, 10, 32)
+	return id, int32(n), ok && err == nil
+}
+
+// partOf is the part that a machine belongs to.
+func partOf(machine string, parts int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(machine))
+	// FNV's low bits alone are uneven for names that differ in a digit.
+	v := h.Sum32()
+	v ^= v >> 15
+	v *= 0x2c1b3c6d
+	v ^= v >> 12
+	return int(v % uint32(parts))
+}
+
+// holder is the value of a leased key: the process that holds a right. The
+// boot tells a restarted process from its former self.
+type holder struct {
+	Node string `json:"n"`
+	Boot string `json:"b"`
+}
+
+// Fates of a job.
+const (
+	live = iota
+	cancelled
+	done
+)
+
+// jobValue is the stored form of a job. A final job keeps only its fate.
+type jobValue struct {
+	Fate int       `json:"f"`
+	At   int64     `json:"at,omitempty"` // time of day of its acceptance, ms
+	Job  *wire.Job `json:"j,omitempty"`
+}
+
+// groupValue is the stored form of a placement record: some tasks of a job that
+// one part is in charge of. A task that is done leaves the record.
+type groupValue struct {
+	Part  int          `json:"p"`
+	Zone  string       `json:"z,omitempty"`
+	Own   bool         `json:"o,omitempty"`
+	Done  int          `json:"d,omitempty"`
+	Tasks []entryValue `json:"t"`
+}
+
+// entryValue is one task of a record: Allocated if it names a machine, else Pending.
+type entryValue struct {
+	Num     int32  `json:"i"`
+	Attempt uint64 `json:"a,omitempty"`
+	Machine string `json:"m,omitempty"`
+	Session uint64 `json:"s,omitempty"`
+}
+
+type job struct {
+	id    string
+	stamp uint64
+	fate  int
+	at    time.Time
+	spec  *wire.Job
+	need  core.Res
+	team  int32
+	recs  map[int]*rec
+	loc   map[int32]*rec // of each task that is dealt and not done
+
+	dealing  bool            // a leader's write is in flight
+	ending   bool            // a write of the fate is in flight
+	failedOn map[string]bool // machines on which tasks of it failed
+	retryAt  time.Time       // nothing of it is placed before then
+}
+
+func (j *job) dealt() (n, finished int) {
+	for _, r := range j.recs {
+		n += len(r.entries) + r.done
+		finished += r.done
+	}
+	return n, finished
+}
+
+type entry struct {
+	num     int32
+	attempt uint64
+	m       *machine // nil: Pending
+	session uint64
+}
+
+type rec struct {
+	key     string
+	idx     int32
+	k       int
+	job     *job
+	stamp   uint64
+	part    int
+	zone    string
+	own     bool
+	done    int
+	entries []entry
+	writing bool
+	since   time.Time // when it came to its part
+}
+
+func (r *rec) task(num int32) core.Task { return core.Task{Rec: r.idx, Num: num} }
+
+func (r *rec) find(num int32) *entry {
+	for i := range r.entries {
+		if r.entries[i].num == num {
+			return &r.entries[i]
+		}
+	}
+	return nil
+}
+
+func (r *rec) bound() int {
+	n := 0
+	for i := range r.entries {
+		if r.entries[i].m != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rec) claim() core.Claim {
+	return core.Claim{Level: r.job.spec.Priority, Own: r.own, Team: r.job.team}
+}
+
+// value is the record with other entries.
+func (r *rec) value(done int, entries []entry) json.RawMessage {
+	v := groupValue{Part: r.part, Zone: r.zone, Own: r.own, Done: done, Tasks: make([]entryValue, 0, len(entries))}
+	for _, e := range entries {
+		x := entryValue{Num: e.num, Attempt: e.attempt}
+		if e.m != nil {
+			x.Machine, x.Session = e.m.name, e.session
+		}
+		v.Tasks = append(v.Tasks, x)
+	}
+	return mustJSON(v)
+}
+
+func mustJSON(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err)) // plain data always encodes
+	}
+	return raw
+}
+
+// maxEntries keeps a record within the state service's limit of a value.
+func maxEntries(valueKB float64) int {
+	const perEntry = 96 // the longest usual form, with room for long names
+	return max(1, min(128, int(valueKB*1024-256)/perEntry))
+}
--- /dev/null
+++ b/internal/controller/rights.go
@@ -0,0 +1,381 @@
+package controller
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// rightTTL is how long a right outlives its holder. It is the least that a
+// process short of processor time renews safely.
+const rightTTL = 4 * time.Second
+
+// yieldFor is how long a controller that gave its rights up takes none.
+const yieldFor = 15 * time.Second
+
+// preferred is the node that a part should be with, so that parts spread evenly.
+func (b *brain) preferred(n int) string {
+	names := b.cfg.Nodes()
+	return names[n%len(names)]
+}
+
+func (b *brain) siblingAble(name string) bool {
+	s := b.siblings[name]
+	return s != nil && s.status != nil && s.status.Able && b.now.Sub(s.at) < 2500*time.Millisecond
+}
+
+// able tells whether this controller should hold rights.
+func (b *brain) able() bool { return b.fresh(rightTTL) && !b.now.Before(b.yieldUntil) }
+
+// tendRights takes vacant rights and hands parts back to their preferred node.
+func (b *brain) tendRights() {
+	if !b.able() {
+		return
+	}
+	for _, p := range b.parts {
+		key := partKey(p.n)
+		pref := b.preferred(p.n)
+		if p.term == 0 {
+			wait := 300 * time.Millisecond
+			if pref == b.cfg.Name {
+				wait = 0
+			} else if b.siblingAble(pref) || b.now.Sub(b.startedAt) < 2*time.Second {
+				wait = 2 * time.Second
+			}
+			b.tryTake(key, wait)
+			continue
+		}
+		if pref != b.cfg.Name && b.siblingAble(pref) && b.now.Sub(p.since) > 5*time.Second {
+			if s := b.siblings[pref]; b.now.Sub(s.since) > 4*time.Second {
+				b.log.Info("part handed back", "part", p.n, "to", pref)
+				b.yield(key)
+			}
+		}
+	}
+	wait := 100 * time.Millisecond * time.Duration(slices.Index(b.cfg.Nodes(), b.cfg.Name))
+	b.tryTake(keyLeader, wait)
+}
+
+// tryTake takes a right that is vacant since wait, or that our own former
+// process holds: that one is surely dead.
+func (b *brain) tryTake(key string, wait time.Duration) {
+	r := b.rights[key]
+	if r.busy || r.stamp != 0 || b.now.Before(r.rest) {
+		return
+	}
+	h, held := b.holders[key]
+	if held && h.Node != b.cfg.Name {
+		r.freeAt = time.Time{}
+		return
+	}
+	if !held {
+		if r.freeAt.IsZero() {
+			r.freeAt = b.now
+		}
+		if b.now.Sub(r.freeAt) < wait {
+			return
+		}
+	}
+	r.busy = true
+	expect := b.vers[key]
+	go b.take(r, key, expect)
+}
+
+func (b *brain) take(r *right, key string, expect uint64) {
+	lease, err := b.st.Lease(b.ctx, rightTTL)
+	var ans *wire.TxnAnswer
+	if err == nil {
+		ans, err = b.st.Txn(b.ctx, &wire.Txn{
+			If:   []wire.Condition{{Key: key, Version: expect}},
+			Then: []wire.Change{{Put: key, Value: mustJSON(holder{b.cfg.Name, b.boot}), Lease: lease}},
+		})
+		if err != nil {
+			// Perhaps it was applied: ending the lease takes the key along, and
+			// a late write under it is refused.
+			_ = b.st.End(b.ctx, lease)
+		}
+	}
+	b.post(func() {
+		r.busy = false
+		if err != nil {
+			r.freeAt = b.now.Add(200 * time.Millisecond)
+			return
+		}
+		r.stamp, r.lease, r.freeAt = ans.Revision, lease, time.Time{}
+		b.put(key, mustJSON(holder{b.cfg.Name, b.boot}), ans.Revision)
+		if r.stamp == 0 {
+			return
+		}
+		b.gained(key, ans.Revision)
+		go b.keep(r, key, lease)
+	})
+}
+
+// keep renews the lease of a right until it is lost.
+func (b *brain) keep(r *right, key string, lease uint64) {
+	t := time.NewTicker(rightTTL / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-t.C:
+		}
+		err := b.st.Renew(b.ctx, lease)
+		over := make(chan bool, 1)
+		b.post(func() {
+			if r.lease != lease {
+				over <- true
+				return
+			}
+			if errors.Is(err, store.ErrNoLease) {
+				b.lost(key, "lease ended")
+				over <- true
+				return
+			}
+			over <- false
+		})
+		select {
+		case <-b.ctx.Done():
+			return
+		case o := <-over:
+			if o {
+				return
+			}
+		}
+	}
+}
+
+// rightSeen is told what the replica shows of a leased key.
+func (b *brain) rightSeen(key string, h holder, stamp uint64) {
+	if r := b.rights[key]; r != nil && r.stamp != 0 && stamp > r.stamp && h.Boot != b.boot {
+		b.lost(key, "taken by "+h.Node)
+	}
+}
+
+func (b *brain) rightDropped(key string) {
+	r := b.rights[key]
+	if r == nil {
+		return
+	}
+	if r.stamp != 0 {
+		b.lost(key, "lease ended")
+	}
+	r.freeAt = b.now
+}
+
+func (b *brain) gained(key string, stamp uint64) {
+	b.log.Info("right taken", "key", key, "term", stamp)
+	if key == keyLeader {
+		b.leaderGained(stamp)
+		return
+	}
+	for _, p := range b.parts {
+		if partKey(p.n) == key {
+			b.partGained(p, stamp)
+		}
+	}
+}
+
+func (b *brain) lost(key, why string) {
+	r := b.rights[key]
+	if r.stamp == 0 {
+		return
+	}
+	b.log.Info("right lost", "key", key, "why", why)
+	r.stamp, r.lease = 0, 0
+	if key == keyLeader {
+		b.lead = leader{}
+		return
+	}
+	for _, p := range b.parts {
+		if partKey(p.n) == key {
+			p.term, p.active = 0, false
+			p.cells, p.alloc = nil, nil
+		}
+	}
+}
+
+// yield gives a right back at once.
+func (b *brain) yield(key string) {
+	r := b.rights[key]
+	if r.stamp == 0 {
+		return
+	}
+	lease := r.lease
+	b.lost(key, "given back")
+	r.rest = b.now.Add(2 * time.Second)
+	go func() { _ = b.st.End(b.ctx, lease) }()
+}
+
+// partGained takes a part over: the replica is read once more, so that it has
+// all that former owners stored, then the cells are rebuilt from it.
+func (b *brain) partGained(p *part, stamp uint64) {
+	p.term, p.since, p.active = stamp, b.now, false
+	p.cells, p.alloc = core.NewPart(), map[core.Task]alloc{}
+	// A former owner's last read may have begun just before its key went; it
+	// may go on answering reports for the hold time after that. Whether there
+	// was one can't be told here, not even after our own restart: the process
+	// before it may have been a successor itself.
+	p.old = b.hold
+	b.readThen(func() { b.activate(p, stamp) })
+}
+
+func (b *brain) activate(p *part, stamp uint64) {
+	if p.term != stamp {
+		return
+	}
+	p.active = true
+	for t := range b.outcomes {
+		if r := b.recs[t.Rec]; r == nil || r.part == p.n {
+			delete(b.outcomes, t)
+		}
+	}
+	for _, r := range b.recs {
+		if r != nil {
+			b.adopt(r)
+		}
+	}
+	// Machines that know us from before, or that siblings know, hear the new
+	// token at once, so that they turn to us.
+	for _, s := range b.siblings {
+		if s.status == nil {
+			continue
+		}
+		for _, x := range s.status.Machines {
+			if m := b.machine(x.Name); m.addr == "" {
+				m.addr, m.typ, m.zone, m.spot = x.Addr, x.Type, x.Zone, x.Flags&mesh.Spot != 0
+			}
+			if m := b.machine(x.Name); x.Session > m.session {
+				m.session, m.seq = x.Session, 0
+			}
+		}
+	}
+	for _, m := range b.byIdx {
+		if partOf(m.name, len(b.parts)) == p.n && !m.gone {
+			m.doRest = time.Time{}
+			b.ping(m, p)
+		}
+	}
+	b.step()
+}
+
+// readThen runs f after a successful read of the replica that begins now.
+func (b *brain) readThen(f func()) {
+	ch := make(chan error, 1)
+	b.readNext = append(b.readNext, ch)
+	b.startRead()
+	go func() {
+		select {
+		case err := <-ch:
+			b.post(func() {
+				if err != nil {
+					b.readThen(f)
+					return
+				}
+				f()
+			})
+		case <-b.ctx.Done():
+		}
+	}()
+}
+
+// raiseTerm rewrites a part's key: a higher token, which fences commands that
+// may still be under way.
+func (b *brain) raiseTerm(p *part) {
+	key := partKey(p.n)
+	r := b.rights[key]
+	if r.busy || r.stamp == 0 || b.now.Sub(p.raised) < 4*time.Second {
+		return
+	}
+	p.raise, p.raised = false, b.now
+	r.busy = true
+	stamp := r.stamp
+	b.write(&store.Unit{
+		If:   []wire.Condition{{Key: key, Version: stamp}},
+		Then: []wire.Change{{Put: key, Value: mustJSON(holder{b.cfg.Name, b.boot}), Lease: r.lease}},
+	}, func(err error) {
+		r.busy = false
+		if r.stamp != stamp {
+			return
+		}
+		if err != nil {
+			b.readThen(func() { // perhaps an unanswered try was applied
+				if r.stamp == stamp && b.vers[key] != stamp {
+					b.termRaised(p, r, b.vers[key])
+				}
+			})
+			return
+		}
+		b.termRaised(p, r, b.vers[key])
+	})
+}
+
+func (b *brain) termRaised(p *part, r *right, stamp uint64) {
+	if h := b.holders[partKey(p.n)]; h.Boot != b.boot {
+		return
+	}
+	r.stamp, p.term = stamp, stamp
+	b.log.Info("term raised", "part", p.n, "term", stamp)
+	for _, m := range b.byIdx {
+		if partOf(m.name, len(b.parts)) == p.n && !m.gone {
+			b.ping(m, p)
+		}
+	}
+}
+
+// watchHearing gives the rights up when no worker reaches this controller: the
+// siblings may well be reachable.
+func (b *brain) watchHearing() {
+	window := 2*config.Seconds(b.cfg.Settings.Workers.ReportS) + 6*time.Second
+	known, heard, young := 0, false, false
+	for _, p := range b.parts {
+		if p.term == 0 {
+			continue
+		}
+		young = young || b.now.Sub(p.since) < window
+		for _, m := range b.byIdx {
+			if m.gone || partOf(m.name, len(b.parts)) != p.n {
+				continue
+			}
+			if len(m.bound) > 0 || !m.heard.IsZero() && b.now.Sub(m.heard) < time.Minute {
+				known++
+			}
+			heard = heard || m.heard.After(p.since) && b.now.Sub(m.heard) < window
+		}
+	}
+	if known >= 2 && !heard && !young {
+		b.log.Info("no worker reaches this controller: giving all rights up", "machines", known)
+		b.yieldUntil = b.now.Add(yieldFor)
+		for key := range b.rights {
+			b.yield(key)
+		}
+		return
+	}
+	// A leader that hears from no other owner can't lead.
+	if b.rights[keyLeader].stamp == 0 || b.now.Sub(b.lead.since) < 8*time.Second {
+		return
+	}
+	others, deaf := 0, 0
+	for _, p := range b.parts {
+		h, ok := b.holders[partKey(p.n)]
+		if !ok || h.Node == b.cfg.Name {
+			continue
+		}
+		others++
+		if s := b.siblings[h.Node]; s == nil || b.now.Sub(s.at) > 6*time.Second {
+			deaf++
+		}
+	}
+	if others > 0 && others == deaf {
+		b.log.Info("no other owner reaches this leader: giving the lead up")
+		b.yield(keyLeader)
+		b.rights[keyLeader].rest = b.now.Add(yieldFor)
+	}
+}
--- /dev/null
+++ b/internal/controller/run.go
@@ -0,0 +1,216 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"eiderhitch/internal/api"
+	"eiderhitch/internal/cloud"
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/fleet"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// metrics are counted cheaply and logged at intervals.
+type metrics struct {
+	events int64
+	lag    *hdrhistogram.Histogram // how long the actor took for an event, µs
+}
+
+const (
+	inboxSize     = 1024
+	tick          = 100 * time.Millisecond
+	statusEvery   = 500 * time.Millisecond
+	metricsEvery  = 30 * time.Second
+	watchWait     = 1500 * time.Millisecond
+	cloudQueue    = 64
+	minStepPeriod = 20 * time.Millisecond
+)
+
+func newBrain(ctx context.Context, cfg *config.Platform, log *slog.Logger) *brain {
+	s := &cfg.Settings
+	st := store.NewClient(cfg.External.State)
+	b := &brain{
+		cfg: cfg, log: log.With("node", cfg.Name), boot: fmt.Sprintf("%016x", rand.Uint64()), ctx: ctx,
+		inbox: make(chan func(), inboxSize), cloudQ: make(chan func(), cloudQueue),
+		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS),
+		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS), fl: fleet.NewClient(max(s.Limits.MaxSockets/6, 4)),
+		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.LeaseS),
+		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
+		holders: map[string]holder{}, gone: map[string]time.Time{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
+		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{},
+		outcomes: map[core.Task]outcome{}, metrics: metrics{lag: hdrhistogram.New(1, 10_000_000, 2)},
+	}
+	b.now = time.Now()
+	b.startedAt = b.now
+	for _, t := range s.Teams {
+		b.team(t.Name)
+	}
+	for n := range s.Count {
+		b.parts = append(b.parts, &part{n: n})
+		b.rights[partKey(n)] = &right{key: partKey(n)}
+	}
+	for _, x := range cfg.Siblings {
+		b.siblings[x.Name] = &sibling{}
+		b.senders = append(b.senders, mesh.NewSender(x.Addr))
+	}
+	return b
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, cfg *config.Platform, log *slog.Logger) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	apiL, err := net.Listen("tcp", cfg.APIAddr)
+	if err != nil {
+		return fmt.Errorf("api_addr: %w", err)
+	}
+	meshL, err := net.Listen("tcp", cfg.MeshAddr)
+	if err != nil {
+		apiL.Close()
+		return fmt.Errorf("mesh_addr: %w", err)
+	}
+	b := newBrain(ctx, cfg, log)
+	b.log.Info("controller starts", "boot", b.boot, "parts", len(b.parts), "hold", b.hold)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	defer func() { b.st.Close(); b.cl.Close(); b.fl.Close() }()
+	wg.Go(func() { mesh.Serve(ctx, meshL, b.log, func(s *mesh.Status) { b.post(func() { b.takeStatus(s) }) }) })
+	for _, s := range b.senders {
+		wg.Go(func() { s.Run(ctx) })
+	}
+	wg.Go(func() { b.wr.Run(ctx) })
+	wg.Go(b.follow)
+	for range 2 {
+		wg.Go(b.workCloud)
+	}
+	wg.Go(b.loop)
+	conns := max(cfg.Settings.Limits.MaxSockets*2/3, 8)
+	err = api.Serve(ctx, apiL, b, b.log, api.Limits{Connections: conns, Requests: max(conns/2, 4)})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// loop is the actor: it alone touches the brain's state.
+func (b *brain) loop() {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	var nextStatus, nextMetrics, nextLead, lastStep time.Time
+	nextMetrics = time.Now().Add(metricsEvery)
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case f := <-b.inbox:
+			b.now = time.Now()
+			f()
+			_ = b.metrics.lag.RecordValue(max(time.Since(b.now).Microseconds(), 1))
+			b.metrics.events++
+			if b.stepDue && b.now.Sub(lastStep) > minStepPeriod {
+				b.stepDue, lastStep = false, b.now
+				b.stepParts()
+			}
+			continue
+		case <-t.C:
+		}
+		b.now = time.Now()
+		if !b.loaded {
+			continue
+		}
+		b.tendRights()
+		b.watchHearing()
+		b.tendCloud()
+		b.stepDue = false
+		b.stepParts()
+		if !b.now.Before(nextLead) {
+			nextLead = b.now.Add(2 * tick)
+			b.leadStep()
+		}
+		if !b.now.Before(nextStatus) {
+			nextStatus = b.now.Add(statusEvery)
+			b.probeSilent()
+			frame := mesh.AppendStatus(nil, b.status())
+			for _, s := range b.senders {
+				s.Offer(frame)
+			}
+		}
+		if b.now.After(nextMetrics) {
+			nextMetrics = b.now.Add(metricsEvery)
+			b.log.Info("counters", "events", b.metrics.events, "event_p50_us", b.metrics.lag.ValueAtQuantile(50),
+				"event_p99_us", b.metrics.lag.ValueAtQuantile(99), "jobs", len(b.jobs), "machines", len(b.machines))
+			b.metrics.lag.Reset()
+			b.metrics.events = 0
+		}
+	}
+}
+
+// follow keeps the replica current.
+func (b *brain) follow() {
+	s := &b.cfg.Settings
+	pause := max(time.Duration(float64(time.Second)*float64(s.Count)/(s.State.RPS*0.25)), 50*time.Millisecond)
+	var cursor uint64
+	loaded := false
+	for b.ctx.Err() == nil {
+		start := time.Now()
+		var err error
+		if !loaded {
+			var items []wire.Item
+			var rev uint64
+			items, rev, err = b.st.All(b.ctx, prefix)
+			if err == nil {
+				loaded = true
+				b.ask(b.ctx, func() {
+					b.reset(items, rev)
+					b.read(start)
+					cursor = b.cursor
+				})
+			}
+		} else {
+			ev, werr := b.st.Watch(b.ctx, prefix, cursor, watchWait)
+			err = werr
+			if err == nil {
+				b.ask(b.ctx, func() {
+					b.events(ev)
+					b.read(start)
+					cursor = b.cursor
+				})
+			} else if errors.Is(err, store.ErrTooOld) {
+				loaded = false
+			}
+		}
+		wait := pause
+		if err != nil {
+			b.log.Debug("state service", "err", err)
+			wait = 200*time.Millisecond + rand.N(100*time.Millisecond)
+		}
+		select {
+		case <-b.ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (b *brain) workCloud() {
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case f := <-b.cloudQ:
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/users.go
@@ -0,0 +1,323 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"eiderhitch/internal/api"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// unavailable tells a user to come back.
+func unavailable(why string) api.Answer {
+	return api.Answer{Status: http.StatusServiceUnavailable, RetryAfter: 1, Reason: why}
+}
+
+// startRead begins a read of the replica for everybody who waits, unless one
+// is under way or was just done: users' reads share calls.
+func (b *brain) startRead() {
+	if b.reading || len(b.readNext) == 0 || b.readTimer {
+		return
+	}
+	if gap := b.readGap() - b.now.Sub(b.lastRead); gap > 0 {
+		b.readTimer = true
+		time.AfterFunc(gap, func() {
+			b.post(func() { b.readTimer = false; b.startRead() })
+		})
+		return
+	}
+	waiting := b.readNext
+	b.readNext = nil
+	b.reading, b.lastRead = true, b.now
+	start, cursor, loaded := b.now, b.cursor, b.loaded
+	go func() {
+		err := errors.New("replica is not loaded")
+		var ev *wire.Events
+		if loaded {
+			ev, err = b.st.Watch(b.ctx, prefix, cursor, 0)
+		}
+		b.post(func() {
+			b.reading = false
+			if err == nil {
+				b.events(ev)
+				b.read(start)
+			}
+			for _, ch := range waiting {
+				ch <- err
+			}
+			b.startRead()
+		})
+	}()
+}
+
+// read notes a successful read that began at start.
+func (b *brain) read(start time.Time) {
+	if start.After(b.freshAt) {
+		b.freshAt = start
+	}
+}
+
+// readGap spaces reads so that all controllers together use a quarter of the
+// state service's limit for them.
+func (b *brain) readGap() time.Duration {
+	s := &b.cfg.Settings
+	return time.Duration(float64(time.Second) * float64(s.Count) / (s.State.RPS * 0.25))
+}
+
+// catchUp waits for a read of the replica that begins after now.
+func (b *brain) catchUp(ctx context.Context) error {
+	ch := make(chan error, 1)
+	if !b.ask(ctx, func() {
+		b.readNext = append(b.readNext, ch)
+		b.startRead()
+	}) {
+		return context.DeadlineExceeded
+	}
+	select {
+	case err := <-ch:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// state is what a user is told of a known job.
+func (j *job) state() wire.JobState {
+	s := wire.JobState{ID: j.id}
+	switch j.fate {
+	case done:
+		s.State = wire.Done
+	case cancelled:
+		s.State = wire.Cancelled
+	default:
+		s.State = wire.Queued
+		running, finished := 0, 0
+		for _, r := range j.recs {
+			running += r.bound()
+			finished += r.done
+		}
+		if running > 0 {
+			s.State = wire.Running
+		}
+		s.Done, s.Running = &finished, &running
+	}
+	return s
+}
+
+func (b *brain) known(id string) *job {
+	if j := b.jobs[id]; j != nil && j.stamp != 0 {
+		return j
+	}
+	return nil
+}
+
+// impossible says why a job can never run, or "".
+func (b *brain) impossible(j *wire.Job) string {
+	tasks := 1
+	if j.Service {
+		tasks = j.Tasks
+	}
+	found := false
+	for i := range b.cfg.Settings.Teams {
+		t := &b.cfg.Settings.Teams[i]
+		if t.Name != j.Team {
+			continue
+		}
+		found = true
+		if t.CPUsMax > 0 && j.CPUs*float64(tasks) > t.CPUsMax+1e-9 || t.GPUsMax > 0 && j.GPUs*float64(tasks) > t.GPUsMax+1e-9 {
+			return "more than the team's limit"
+		}
+	}
+	if !found {
+		return "unknown team"
+	}
+	need := core.Amount(j.CPUs, j.GPUs, j.RAM)
+	for _, t := range b.types {
+		if !core.Amount(t.CPUs, t.GPUs, t.RAM).Holds(need) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if allowed(j, "", t.Name, z, false) {
+				return ""
+			}
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+// Submit accepts a job.
+func (b *brain) Submit(ctx context.Context, j *wire.Job) api.Answer {
+	var ans api.Answer
+	var result chan error
+	check := false
+	if !b.ask(ctx, func() {
+		switch {
+		case !b.loaded:
+			ans = unavailable("starting")
+		case b.known(j.ID) != nil:
+			check = true
+		case len(b.types) == 0:
+			ans = unavailable("machine types are not known yet")
+		case !b.fresh(rightTTL):
+			ans = unavailable("state service out of reach")
+		case b.impossible(j) != "":
+			check = true
+		default:
+			result = make(chan error, 1)
+			b.write(&store.Unit{Urgent: true,
+				If:   []wire.Condition{{Key: jobKey(j.ID)}},
+				Then: []wire.Change{{Put: jobKey(j.ID), Value: mustJSON(jobValue{At: b.now.UnixMilli(), Job: j})}},
+			}, func(err error) { result <- err })
+		}
+	}) {
+		return unavailable("busy")
+	}
+	if check {
+		return b.answerKnown(ctx, j)
+	}
+	if result == nil {
+		return ans
+	}
+	select {
+	case err := <-result:
+		switch {
+		case err == nil:
+			return api.Answer{Status: http.StatusCreated, Body: wire.JobState{ID: j.ID, State: wire.Queued}}
+		case errors.Is(err, store.ErrConflict):
+			return b.answerKnown(ctx, j)
+		}
+		return unavailable("state service: not stored")
+	case <-ctx.Done():
+		return unavailable("state service: no answer")
+	}
+}
+
+// answerKnown answers the submission of a job that is known already, or, if it
+// turns out not to be, of one that can never run.
+func (b *brain) answerKnown(ctx context.Context, j *wire.Job) api.Answer {
+	ans := b.Poll(ctx, j.ID)
+	if ans.Status != http.StatusNotFound {
+		return ans
+	}
+	why := ""
+	b.ask(ctx, func() { why = b.impossible(j) })
+	if why == "" {
+		return unavailable("try again")
+	}
+	return api.Answer{Status: http.StatusUnprocessableEntity, Reason: why}
+}
+
+// Poll tells a job's state. An answer that may still change is given only
+// after a read of the state service that began after the question came, so
+// that it is never older than what any controller has said.
+func (b *brain) Poll(ctx context.Context, id string) api.Answer {
+	if !wire.ValidID(id) {
+		return api.Answer{Status: http.StatusNotFound, Reason: "no such job"}
+	}
+	var ans api.Answer
+	final := false
+	if !b.ask(ctx, func() {
+		if !b.loaded {
+			ans, final = unavailable("starting"), true
+		} else if j := b.known(id); j != nil && j.fate != live {
+			ans, final = api.Answer{Status: http.StatusOK, Body: j.state()}, true
+		}
+	}) {
+		return unavailable("busy")
+	}
+	if final {
+		return ans
+	}
+	if err := b.catchUp(ctx); err != nil {
+		return unavailable("state service out of reach")
+	}
+	if !b.ask(ctx, func() {
+		if j := b.known(id); j != nil {
+			ans = api.Answer{Status: http.StatusOK, Body: j.state()}
+		} else {
+			ans = api.Answer{Status: http.StatusNotFound, Reason: "no such job"}
+		}
+	}) {
+		return unavailable("busy")
+	}
+	return ans
+}
+
+// Abort cancels a job.
+func (b *brain) Abort(ctx context.Context, id string) api.Answer {
+	for {
+		ans := b.Poll(ctx, id)
+		s, ok := ans.Body.(wire.JobState)
+		if ans.Status != http.StatusOK || !ok {
+			return ans
+		}
+		if s.State == wire.Done || s.State == wire.Cancelled {
+			return ans
+		}
+		result := make(chan error, 1)
+		if !b.ask(ctx, func() {
+			j := b.known(id)
+			if j == nil || j.fate != live || j.spec == nil {
+				result <- store.ErrConflict
+				return
+			}
+			// The spec stays: its tasks count for the team's limit until they
+			// are gone, also for a controller that starts later.
+			b.write(&store.Unit{Urgent: true,
+				If:   []wire.Condition{{Key: jobKey(id), Version: j.stamp}},
+				Then: []wire.Change{{Put: jobKey(id), Value: mustJSON(jobValue{Fate: cancelled, At: j.at.UnixMilli(), Job: j.spec})}},
+			}, func(err error) { result <- err })
+		}) {
+			return unavailable("busy")
+		}
+		select {
+		case err := <-result:
+			if err == nil {
+				return api.Answer{Status: http.StatusOK, Body: wire.JobState{ID: id, State: wire.Cancelled}}
+			}
+			if !errors.Is(err, store.ErrConflict) {
+				return unavailable("state service: not stored")
+			}
+		case <-ctx.Done():
+			return unavailable("state service: no answer")
+		}
+		if ctx.Err() != nil {
+			return unavailable("busy")
+		}
+	}
+}
+
+// Report answers a worker.
+func (b *brain) Report(ctx context.Context, r *wire.Report) api.Answer {
+	var ans api.Answer
+	if !b.ask(ctx, func() { ans = b.report(r) }) {
+		return unavailable("busy")
+	}
+	return ans
+}
+
+// Ready tells the load balancer whether to send users. A controller that alone
+// can't reach the state service stands back; in an outage for all nobody does,
+// since leaving and coming back would only make it longer for users.
+func (b *brain) Ready(ctx context.Context) bool {
+	ready := false
+	b.ask(ctx, func() {
+		ready = b.loaded && len(b.types) > 0
+		if !ready || b.fresh(rightTTL) {
+			return
+		}
+		heard, ok := false, false
+		for _, s := range b.siblings {
+			if s.status != nil && b.now.Sub(s.at) < 2500*time.Millisecond {
+				heard = true
+				ok = ok || s.status.Fresh
+			}
+		}
+		ready = heard && !ok
+	})
+	return ready
+}
--- /dev/null
+++ b/internal/core/cell.go
@@ -0,0 +1,478 @@
+// Package core decides what runs where. It does no input or output and has no
+// clock: events come in, transitions and intents go out.
+//
+// The state machines are those of "HiveD State Machines". A cell is a slice
+// of a machine, carved out when it is claimed; what is not carved out is Free.
+package core
+
+import "fmt"
+
+// Res is an amount of each resource, in thousandths.
+type Res struct{ CPU, GPU, RAM int64 }
+
+// Amount builds a Res from decimal numbers.
+func Amount(cpu, gpu, ram float64) Res {
+	return Res{int64(cpu*1000 + 0.5), int64(gpu*1000 + 0.5), int64(ram*1000 + 0.5)}
+}
+
+// Plus adds.
+func (a Res) Plus(b Res) Res { return Res{a.CPU + b.CPU, a.GPU + b.GPU, a.RAM + b.RAM} }
+
+// Minus subtracts.
+func (a Res) Minus(b Res) Res { return Res{a.CPU - b.CPU, a.GPU - b.GPU, a.RAM - b.RAM} }
+
+// Times multiplies.
+func (a Res) Times(n int) Res { return Res{a.CPU * int64(n), a.GPU * int64(n), a.RAM * int64(n)} }
+
+// Holds tells whether b fits into a.
+func (a Res) Holds(b Res) bool { return a.CPU >= b.CPU && a.GPU >= b.GPU && a.RAM >= b.RAM }
+
+// Fits is how many times b fits into a, at most most.
+func (a Res) Fits(b Res, most int) int {
+	n := int64(most)
+	for _, p := range [][2]int64{{a.CPU, b.CPU}, {a.GPU, b.GPU}, {a.RAM, b.RAM}} {
+		if p[0] < 0 {
+			return 0
+		}
+		if p[1] > 0 {
+			n = min(n, p[0]/p[1])
+		}
+	}
+	return int(n)
+}
+
+func (a Res) positive() Res { return Res{max(a.CPU, 0), max(a.GPU, 0), max(a.RAM, 0)} }
+
+// CellState is a state of the paper's cell machine.
+type CellState uint8
+
+// The states of a cell. A Free cell is not kept: it is the rest of a machine.
+const (
+	Free CellState = iota
+	Used
+	Reserved
+	Reserving
+)
+
+func (s CellState) String() string { return [...]string{"Free", "Used", "Reserved", "Reserving"}[s] }
+
+// GroupState is a state of the paper's affinity group machine.
+type GroupState uint8
+
+// The states of a group; Pending, Allocated and Deleted are the stored ones.
+const (
+	Pending GroupState = iota
+	Preempting
+	Allocated
+	BeingPreempted
+	Deleted
+)
+
+func (s GroupState) String() string {
+	return [...]string{"Pending", "Preempting", "Allocated", "BeingPreempted", "Deleted"}[s]
+}
+
+// Task names a task by dense indices: its placement record and its number.
+type Task struct{ Rec, Num int32 }
+
+// Claim says on whose behalf cells are claimed.
+type Claim struct {
+	Level int
+	// Own: the claim is within its team's guarantee.
+	Own  bool
+	Team int32
+}
+
+// Evicts tells whether a claim may take another's cells: strictly higher
+// priority, or equal priority, within the guarantee, from a team above its
+// own. It is a strict partial order, so evictions can't go in circles.
+func (c Claim) Evicts(v Claim) bool {
+	return c.Level > v.Level || c.Level == v.Level && c.Own && !v.Own && c.Team != v.Team
+}
+
+// Cell is a claimed slice of a machine.
+type Cell struct {
+	Machine int32
+	Size    Res
+	State   CellState
+	// User holds the cell in states Used and Reserving.
+	User      Task
+	userClaim Claim
+	// by reserves the cell in states Reserved and Reserving.
+	by *Group
+}
+
+// Group is a gang: tasks that are started together or not at all.
+type Group struct {
+	Tasks    []Task
+	Need     Res
+	Claim    Claim
+	State    GroupState
+	Machines []int32 // one for each task, once Preempting or Allocated
+	cells    []*Cell // reserved or being reserved, while Preempting
+	victims  int
+}
+
+// Placement is one task's machine.
+type Placement struct {
+	Task    Task
+	Machine int32
+}
+
+type machine struct {
+	size  Res
+	free  Res
+	cells []*Cell
+	known bool
+}
+
+// Part is the cells of one part's machines.
+type Part struct {
+	machines map[int32]*machine
+	used     map[Task]*Cell  // Used and Reserving
+	waiting  map[Task]*Group // Preempting
+}
+
+// NewPart returns a part without machines.
+func NewPart() *Part {
+	return &Part{machines: map[int32]*machine{}, used: map[Task]*Cell{}, waiting: map[Task]*Group{}}
+}
+
+// SetMachine makes a machine and its size known.
+func (p *Part) SetMachine(m int32, size Res) {
+	x := p.machine(m)
+	x.free = x.free.Plus(size.Minus(x.size))
+	x.size, x.known = size, true
+}
+
+func (p *Part) machine(m int32) *machine {
+	x := p.machines[m]
+	if x == nil {
+		x = &machine{}
+		p.machines[m] = x
+	}
+	return x
+}
+
+// DropMachine forgets a machine. Reservations on it are cancelled; it must
+// hold no used cell any more.
+func (p *Part) DropMachine(m int32) {
+	x := p.machines[m]
+	if x == nil {
+		return
+	}
+	for _, c := range append([]*Cell(nil), x.cells...) {
+		if c.by != nil {
+			p.Cancel(c.by)
+		}
+	}
+	if len(x.cells) == 0 {
+		delete(p.machines, m)
+	}
+}
+
+// FreeOf is what is free on a machine.
+func (p *Part) FreeOf(m int32) Res {
+	if x := p.machines[m]; x != nil {
+		return x.free
+	}
+	return Res{}
+}
+
+// CellOf is the cell that a task uses, or nil.
+func (p *Part) CellOf(t Task) *Cell { return p.used[t] }
+
+// Waiting is the Preempting group that a task is in, or nil.
+func (p *Part) Waiting(t Task) *Group { return p.waiting[t] }
+
+// Adopt takes a stored binding over: the task's cell is Used. It is how the
+// stored states are turned into cells again after a take-over.
+func (p *Part) Adopt(t Task, m int32, size Res, claim Claim) {
+	if c := p.used[t]; c != nil {
+		if c.Machine == m {
+			return
+		}
+		p.Gone(t)
+	}
+	if g := p.waiting[t]; g != nil {
+		p.Cancel(g)
+	}
+	p.take(t, m, size, claim)
+}
+
+func (p *Part) take(t Task, m int32, size Res, claim Claim) {
+	c := &Cell{Machine: m, Size: size, State: Used, User: t, userClaim: claim}
+	p.used[t] = c
+	p.attach(c)
+}
+
+func (p *Part) attach(c *Cell) {
+	x := p.machine(c.Machine)
+	x.cells = append(x.cells, c)
+	x.free = x.free.Minus(c.Size)
+}
+
+func (p *Part) detach(c *Cell) {
+	x := p.machines[c.Machine]
+	for i, o := range x.cells {
+		if o == c {
+			x.cells = append(x.cells[:i], x.cells[i+1:]...)
+			x.free = x.free.Plus(c.Size)
+			return
+		}
+	}
+	panic(fmt.Sprintf("core: cell of machine %d is not on it", c.Machine))
+}
+
+// Gone tells that a task's use of its cell has ended on proof. A Used cell
+// becomes Free; a Reserving one Reserved. If that was the last one a group
+// waited for, the group is Allocated and returned.
+func (p *Part) Gone(t Task) *Group {
+	c := p.used[t]
+	if c == nil {
+		return nil
+	}
+	delete(p.used, t)
+	if c.State == Used {
+		p.detach(c)
+		return nil
+	}
+	c.State = Reserved
+	g := c.by
+	g.victims--
+	if g.victims > 0 {
+		return nil
+	}
+	p.allocate(g)
+	return g
+}
+
+// allocate turns a Preempting group, all of whose cells are Reserved, into an
+// Allocated one (the paper's e2): its reserved slices become one Used cell for
+// each task, and what the victims held beyond that is Free again.
+func (p *Part) allocate(g *Group) {
+	for _, c := range g.cells {
+		p.detach(c)
+	}
+	g.cells = nil
+	g.State = Allocated
+	for i, t := range g.Tasks {
+		delete(p.waiting, t)
+		p.take(t, g.Machines[i], g.Need, g.Claim)
+	}
+}
+
+// Cancel ends a reservation (e5, e7): Reserving cells return to their victims,
+// Reserved ones are freed, the group is Pending.
+func (p *Part) Cancel(g *Group) {
+	if g.State != Preempting {
+		return
+	}
+	g.State = Pending
+	for _, c := range g.cells {
+		if c.State == Reserving {
+			c.State, c.by = Used, nil
+		} else {
+			p.detach(c)
+		}
+	}
+	g.cells, g.victims = nil, 0
+	for _, t := range g.Tasks {
+		delete(p.waiting, t)
+	}
+}
+
+// Score tells how good a machine is for a group's task: lower is better,
+// negative means not allowed.
+type Score func(machine int32, free Res) float64
+
+// Request asks for cells for all tasks of g, which must be Pending. Free cells
+// are preferred; where there are none, the cells of the fewest victims of the
+// lowest priority are reserved. Afterwards g is Allocated (all cells were free
+// or reserved by lower groups), Preempting, or still Pending, in which case
+// nothing has changed.
+func (p *Part) Request(g *Group, score Score) {
+	type choice struct {
+		machine int32
+		victims []*Cell
+	}
+	var chosen []choice
+	taken := map[int32]Res{} // free room of machines promised to earlier tasks
+	mine := map[*Cell]bool{} // cells promised to earlier tasks
+	for range g.Tasks {
+		best, bestScore, found := int32(0), 0.0, false
+		for m, x := range p.machines {
+			free := x.free.Minus(taken[m])
+			if !x.known || !free.Holds(g.Need) {
+				continue
+			}
+			s := score(m, free)
+			if s < 0 || found && (s > bestScore || s == bestScore && m > best) {
+				continue
+			}
+			best, bestScore, found = m, s, true
+		}
+		if found {
+			chosen = append(chosen, choice{machine: best})
+			taken[best] = taken[best].Plus(g.Need)
+			continue
+		}
+		var pick choice
+		pickCost := -1.0
+		for m, x := range p.machines {
+			if !x.known || score(m, x.free) < 0 {
+				continue
+			}
+			victims, cost := p.victims(x, g, x.free.Minus(taken[m]), mine)
+			if cost < 0 || pickCost >= 0 && (cost > pickCost || cost == pickCost && m > pick.machine) {
+				continue
+			}
+			pick, pickCost = choice{m, victims}, cost
+		}
+		if pickCost < 0 {
+			return
+		}
+		sum := Res{}
+		for _, c := range pick.victims {
+			mine[c] = true
+			sum = sum.Plus(c.Size)
+		}
+		taken[pick.machine] = taken[pick.machine].Plus(g.Need.Minus(sum).positive())
+		chosen = append(chosen, pick)
+	}
+	g.Machines = g.Machines[:0]
+	for _, ch := range chosen {
+		g.Machines = append(g.Machines, ch.machine)
+	}
+	// First send the overwritten preemptors back to Pending (e3, e6, e8).
+	for _, ch := range chosen {
+		for _, c := range ch.victims {
+			if c.by != nil {
+				p.Cancel(c.by)
+			}
+		}
+	}
+	g.State = Preempting
+	for _, t := range g.Tasks {
+		p.waiting[t] = g
+	}
+	for _, ch := range chosen {
+		sum := Res{}
+		for _, c := range ch.victims {
+			if c.State != Used {
+				continue // it was only reserved: freed by Cancel above
+			}
+			c.State, c.by = Reserving, g
+			g.cells = append(g.cells, c)
+			g.victims++
+			sum = sum.Plus(c.Size)
+		}
+		if rest := g.Need.Minus(sum).positive(); rest != (Res{}) {
+			c := &Cell{Machine: ch.machine, Size: rest, State: Reserved, by: g}
+			g.cells = append(g.cells, c)
+			p.attach(c)
+		}
+	}
+	if g.victims == 0 {
+		p.allocate(g)
+	}
+}
+
+// victims chooses cells of a machine for one task of g: the fewest, of the
+// lowest priority. The cost is negative if there aren't enough.
+func (p *Part) victims(x *machine, g *Group, free Res, mine map[*Cell]bool) ([]*Cell, float64) {
+	var can []*Cell
+	for _, c := range x.cells {
+		if mine[c] || c.by != nil && !g.Claim.Evicts(c.by.Claim) {
+			continue
+		}
+		if c.State != Reserved && !g.Claim.Evicts(c.userClaim) {
+			continue
+		}
+		can = append(can, c)
+	}
+	var out []*Cell
+	cost := 0.0
+	for !free.Holds(g.Need) {
+		best := -1
+		for i, c := range can {
+			if best < 0 || weight(c) < weight(can[best]) ||
+				weight(c) == weight(can[best]) && c.Size.CPU > can[best].Size.CPU {
+				best = i
+			}
+		}
+		if best < 0 {
+			return nil, -1
+		}
+		c := can[best]
+		can = append(can[:best], can[best+1:]...)
+		out = append(out, c)
+		free = free.Plus(c.Size)
+		cost += 1 + 1000*weight(c)
+	}
+	return out, cost
+}
+
+// weight orders victims: reserved slices stop nobody, then by priority.
+func weight(c *Cell) float64 {
+	if c.State == Reserved {
+		return 0
+	}
+	w := float64(1 + 2*c.userClaim.Level)
+	if c.userClaim.Own {
+		w++
+	}
+	return w
+}
+
+// Check verifies the invariants; tests call it after every event.
+func (p *Part) Check() error {
+	owned := map[Task]int{}
+	for m, x := range p.machines {
+		free := x.size
+		for _, c := range x.cells {
+			free = free.Minus(c.Size)
+			if (c.State == Used || c.State == Reserving) && p.used[c.User] != c {
+				return fmt.Errorf("machine %d: cell of %v is not its user's", m, c.User)
+			}
+			if (c.by != nil) != (c.State == Reserved || c.State == Reserving) {
+				return fmt.Errorf("machine %d: %v cell with reserver %v", m, c.State, c.by != nil)
+			}
+			if c.by != nil && c.by.State != Preempting {
+				return fmt.Errorf("machine %d: reserved by a group in %v", m, c.by.State)
+			}
+			if c.State == Reserving && !c.by.Claim.Evicts(c.userClaim) {
+				return fmt.Errorf("machine %d: %v reserves from %v", m, c.by.Claim, c.userClaim)
+			}
+			if c.State != Reserved {
+				owned[c.User]++
+			}
+		}
+		if free != x.free {
+			return fmt.Errorf("machine %d: free is %v, cells leave %v", m, x.free, free)
+		}
+	}
+	for t, c := range p.used {
+		if owned[t] != 1 {
+			return fmt.Errorf("task %v has %d cells", t, owned[t])
+		}
+		if c.User != t {
+			return fmt.Errorf("cell of %v is listed for %v", c.User, t)
+		}
+	}
+	for t, g := range p.waiting {
+		if p.used[t] != nil {
+			return fmt.Errorf("task %v waits and runs", t)
+		}
+		n := 0
+		for _, c := range g.cells {
+			if c.State == Reserving {
+				n++
+			}
+		}
+		if n != g.victims || n == 0 {
+			return fmt.Errorf("group of %v counts %d victims, has %d", t, g.victims, n)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/plan.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Host is a machine as the leader sees it: what is free on it, and what could
+// be had by preemption.
+type Host struct {
+	ID              int32
+	Type, Zone      string
+	Spot            bool
+	Part            int
+	Size, Free      Res
+	Claims          []HeldCell // of tasks that run on it
+	Booting         bool
+	Touched, Placed bool // by planning: it is wanted
+}
+
+// HeldCell is a task's use of a host.
+type HeldCell struct {
+	Claim Claim
+	Size  Res
+}
+
+// Take lets up to n tasks of size need take free room on hosts, fullest hosts
+// first, and returns how many each host got.
+func Take(hosts []*Host, allowed func(*Host) bool, need Res, n int) map[*Host]int {
+	out := map[*Host]int{}
+	for n > 0 {
+		var best *Host
+		for _, h := range hosts {
+			if !h.Free.Holds(need) || !allowed(h) {
+				continue
+			}
+			if best == nil || better(h, best) {
+				best = h
+			}
+		}
+		if best == nil {
+			return out
+		}
+		k := best.Free.Fits(need, n)
+		best.Free = best.Free.Minus(need.Times(k))
+		best.Touched = true
+		out[best] += k
+		n -= k
+	}
+	return out
+}
+
+func better(a, b *Host) bool {
+	if a.Booting != b.Booting {
+		return !a.Booting
+	}
+	if a.Spot != b.Spot {
+		return a.Spot
+	}
+	if ea, eb := a.Free == a.Size, b.Free == b.Size; ea != eb {
+		return eb
+	}
+	if a.Free.CPU != b.Free.CPU {
+		return a.Free.CPU < b.Free.CPU
+	}
+	return a.ID < b.ID
+}
+
+// Evictable finds the host on which a task could be placed by stopping the
+// fewest tasks of the lowest priority, and takes that room.
+func Evictable(hosts []*Host, allowed func(*Host) bool, need Res, c Claim) *Host {
+	var best *Host
+	bestCost := math.Inf(1)
+	var bestRest []HeldCell
+	var bestFree Res
+	for _, h := range hosts {
+		if h.Booting || !allowed(h) {
+			continue
+		}
+		held := slices.Clone(h.Claims)
+		slices.SortStableFunc(held, func(x, y HeldCell) int {
+			return cmp.Or(cmp.Compare(x.Claim.Level, y.Claim.Level), cmp.Compare(y.Size.CPU, x.Size.CPU))
+		})
+		free, cost := h.Free, 0.0
+		for len(held) > 0 && !free.Holds(need) && c.Evicts(held[0].Claim) {
+			free = free.Plus(held[0].Size)
+			cost += 1 + 1000*float64(held[0].Claim.Level)
+			held = held[1:]
+		}
+		if free.Holds(need) && (cost < bestCost || cost == bestCost && h.ID < best.ID) {
+			best, bestCost, bestRest, bestFree = h, cost, held, free.Minus(need)
+		}
+	}
+	if best != nil {
+		best.Free, best.Claims, best.Touched = bestFree, bestRest, true
+	}
+	return best
+}
+
+// Limit of a team and what its tasks use.
+type Limit struct {
+	Guarantee, Max Res // a zero resource: none
+	Used, OwnUsed  Res
+}
+
+// Room is how many more tasks of size need the limit permits, at most n.
+func (l *Limit) Room(need Res, n int) int { return under(l.Max, l.Used, need, n) }
+
+// OwnRoom is how many more fit into the guarantee, at most n.
+func (l *Limit) OwnRoom(need Res, n int) int {
+	if l.Guarantee == (Res{}) {
+		return 0
+	}
+	return under(l.Guarantee, l.OwnUsed, need, n)
+}
+
+func under(limit, used, need Res, n int) int {
+	for _, x := range [][3]int64{{limit.CPU, used.CPU, need.CPU}, {limit.GPU, used.GPU, need.GPU}} {
+		if x[0] > 0 && x[2] > 0 {
+			n = min(n, int(max(0, x[0]-x[1])/x[2]))
+		}
+	}
+	return n
+}
+
+// Offer is a kind of machine that the cloud rents.
+type Offer struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Priced is an offer with what it costs and how long it takes to come up.
+type Priced struct {
+	Offer
+	Size  Res
+	Price float64
+	BootS float64
+}
+
+// Choose picks the offer that serves n tasks of size need for the least money
+// for each task, boot time included, and how many machines of it. patience is
+// the time over which a machine's boot time is spread.
+func Choose(offers []Priced, need Res, n int, patience float64) (best Priced, count int) {
+	bestCost := math.Inf(1)
+	for _, o := range offers {
+		fit := o.Size.Fits(need, n)
+		if fit == 0 {
+			continue
+		}
+		k := (n + fit - 1) / fit
+		cost := o.Price * float64(k) / float64(n) * (1 + o.BootS/patience)
+		if cost < bestCost {
+			best, count, bestCost = o, k, cost
+		}
+	}
+	return best, count
+}
--- /dev/null
+++ b/internal/fleet/client.go
@@ -0,0 +1,65 @@
+// Package fleet sends commands straight to workers.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"eiderhitch/internal/wire"
+)
+
+// doTimeout bounds a direct command; workers answer within milliseconds.
+const doTimeout = 2 * time.Second
+
+// Client sends direct commands.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client holding at most conns idle connections.
+func NewClient(conns int) *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxIdleConns: conns, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+	}}}
+}
+
+// Close gives up idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Do sends commands; the worker's report comes back whether it executed them
+// or not. An error means that they may yet be executed later.
+func (c *Client) Do(ctx context.Context, addr string, d *wire.Direct) (*wire.Report, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, doTimeout)
+	defer cancel()
+	if d.Commands == nil {
+		d.Commands = []wire.Command{}
+	}
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return nil, false, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/do", bytes.NewReader(raw))
+	if err != nil {
+		return nil, false, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, false, fmt.Errorf("worker %s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	if err != nil {
+		return nil, false, fmt.Errorf("worker %s: %w", addr, err)
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, false, fmt.Errorf("worker %s: status %d", addr, resp.StatusCode)
+	}
+	r, err := wire.ParseReport(body)
+	if err != nil {
+		return nil, false, fmt.Errorf("worker %s: %w", addr, err)
+	}
+	return r, resp.StatusCode == http.StatusOK, nil
+}
--- /dev/null
+++ b/internal/mesh/frame_test.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func TestStatusRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Status{Node: rapid.StringN(0, 20, 100).Draw(t, "node"), Fresh: rapid.Bool().Draw(t, "fresh"), Able: rapid.Bool().Draw(t, "able"),
+			Parts: rapid.SliceOf(rapid.Uint64()).Draw(t, "parts")}
+		for range rapid.IntRange(0, 5).Draw(t, "n") {
+			s.Machines = append(s.Machines, Machine{Name: rapid.StringN(0, 20, 100).Draw(t, "name"), Addr: "10.1.0.2:9000", Type: "g8", Zone: "a",
+				Session: rapid.Uint64().Draw(t, "session"), Flags: rapid.Uint8().Draw(t, "flags")})
+		}
+		if len(s.Parts) == 0 {
+			s.Parts = nil
+		}
+		got, err := ReadStatus(bytes.NewReader(AppendStatus(nil, s)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(s, got); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// A bad frame is an error, never a panic and never a huge allocation.
+func TestBadFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		good := AppendStatus(nil, &Status{Node: "n", Parts: []uint64{1}, Machines: []Machine{{Name: "m"}}})
+		for range rapid.IntRange(1, 4).Draw(t, "flips") {
+			good[rapid.IntRange(0, len(good)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		good = good[:rapid.IntRange(0, len(good)).Draw(t, "cut")]
+		s, err := ReadStatus(bytes.NewReader(good))
+		if (s == nil) == (err == nil) {
+			t.Fatalf("status %v, error %v", s, err)
+		}
+	})
+	other := AppendStatus(nil, &Status{})
+	other[2] = Version + 1
+	if _, err := ReadStatus(bytes.NewReader(other)); !errors.Is(err, ErrVersion) {
+		t.Fatalf("another version: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,189 @@
+// Package store deals with the state service: calls, a replica of the stored
+// records' versions, group commit and leases.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"eiderhitch/internal/wire"
+)
+
+// Errors of the state service that callers decide on.
+var (
+	ErrConflict = errors.New("state service: a condition failed")
+	ErrNoLease  = errors.New("state service: no such lease")
+	ErrTooOld   = errors.New("state service: revision too old")
+	// ErrRefused: surely not executed (429 and 503).
+	ErrRefused = errors.New("state service: refused")
+	// ErrUnknown: it may have been executed, or may be executed later.
+	ErrUnknown = errors.New("state service: no answer")
+)
+
+// callTimeout bounds each call; the state service mostly answers within 10 ms.
+const callTimeout = 1500 * time.Millisecond
+
+// Client calls the state service.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for the state service at addr.
+func NewClient(addr string) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: &http.Transport{
+		MaxConnsPerHost: 16, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}}}
+}
+
+// Close gives up idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) call(ctx context.Context, limit time.Duration, method, path string, body, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var in io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return 0, err
+		}
+		in = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, in)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
+	case http.StatusOK, http.StatusConflict:
+		if out != nil {
+			if err := json.Unmarshal(raw, out); err != nil {
+				return resp.StatusCode, fmt.Errorf("%w: %w", ErrUnknown, err)
+			}
+		}
+	}
+	if resp.StatusCode >= 500 {
+		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode)
+	}
+	return resp.StatusCode, nil
+}
+
+// Txn runs one transaction. On ErrConflict the answer names the failed keys.
+func (c *Client) Txn(ctx context.Context, t *wire.Txn) (*wire.TxnAnswer, error) {
+	if t.If == nil {
+		t.If = []wire.Condition{}
+	}
+	var out wire.TxnAnswer
+	status, err := c.call(ctx, callTimeout, http.MethodPost, "/txn", t, &out)
+	switch {
+	case err != nil:
+		return nil, err
+	case status == http.StatusOK:
+		return &out, nil
+	case status == http.StatusConflict:
+		return &out, ErrConflict
+	case status == http.StatusBadRequest:
+		return nil, ErrNoLease
+	}
+	return nil, fmt.Errorf("state service: status %d", status)
+}
+
+// All reads every key below prefix and the revision to watch from.
+func (c *Client) All(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
+	var items []wire.Item
+	var first uint64
+	after := ""
+	for {
+		q := url.Values{"starts": {prefix}, "most": {"400"}}
+		if after != "" {
+			q.Set("since", after)
+		}
+		var page wire.Page
+		status, err := c.call(ctx, 2*callTimeout, http.MethodGet, "/kv?"+q.Encode(), nil, &page)
+		if err != nil {
+			return nil, 0, err
+		}
+		if status != http.StatusOK {
+			return nil, 0, fmt.Errorf("state service: range read: status %d", status)
+		}
+		if after == "" {
+			first = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, first, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Watch returns the changes below prefix after revision since, waiting for one.
+func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (*wire.Events, error) {
+	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)},
+		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	var out wire.Events
+	status, err := c.call(ctx, wait+callTimeout, http.MethodGet, "/watch?"+q.Encode(), nil, &out)
+	if err != nil {
+		return nil, err
+	}
+	switch status {
+	case http.StatusOK:
+		return &out, nil
+	case http.StatusGone:
+		return nil, ErrTooOld
+	}
+	return nil, fmt.Errorf("state service: watch: status %d", status)
+}
+
+// Lease obtains a lease.
+func (c *Client) Lease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var out wire.LeaseAnswer
+	status, err := c.call(ctx, callTimeout, http.MethodPost, "/leases", wire.LeaseRequest{TTLMS: ttl.Milliseconds()}, &out)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("state service: lease: status %d", status)
+	}
+	return out.Lease, nil
+}
+
+// Renew extends a lease; ErrNoLease means that it has ended.
+func (c *Client) Renew(ctx context.Context, id uint64) error {
+	status, err := c.call(ctx, callTimeout, http.MethodPost, fmt.Sprintf("/leases/%d/extend", id), struct{}{}, nil)
+	if err != nil {
+		return err
+	}
+	if status == http.StatusNotFound {
+		return ErrNoLease
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("state service: renew: status %d", status)
+	}
+	return nil
+}
+
+// End ends a lease at once.
+func (c *Client) End(ctx context.Context, id uint64) error {
+	_, err := c.call(ctx, callTimeout, http.MethodDelete, fmt.Sprintf("/leases/%d", id), nil, nil)
+	return err
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,397 @@
+// Package wire holds the JSON messages of the protocols, in the protocols' own
+// words. It is strict about what is valid and ignores fields it does not know.
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+)
+
+// States, shapes and other values of the protocols.
+const (
+	Queued    = "queued"
+	Running   = "running"
+	Done      = "done"
+	Cancelled = "withdrawn"
+
+	Fetching = "fetching"
+	Saving   = "flushing"
+	Exited   = "ended"
+
+	WhyDone    = "done"
+	WhyStopped = "halted"
+	WhyError   = "error"
+	WhyNoRoom  = "no_room"
+	WhyBusy    = "in_use"
+	WhyUnknown = "no_such"
+
+	OpStart  = "start"
+	OpStop   = "stop"
+	OpForget = "reap"
+
+	Array   = "batch"
+	Service = "daemon"
+
+	MachineStarting = "starting"
+	MachineFailed   = "failed"
+)
+
+// MaxTasks is how many tasks a job may have.
+const MaxTasks = 100_000
+
+// MaxBody is how large a request's body may be.
+const MaxBody = 64 << 10
+
+var priorities = map[string]int{"low": 0, "normal": 1, "urgent": 2, "production": 3}
+
+// Job is a validated submission.
+type Job struct {
+	ID         string
+	Class      string
+	Team       string
+	Service    bool
+	Priority   int
+	Tasks      int
+	CPUs       float64
+	GPUs       float64
+	RAM        float64
+	Image      string
+	ImageGB    float64
+	Types      []string
+	Zone       string
+	OneZone    bool
+	Spread     bool
+	Spot       bool
+	EstimateS  float64
+	CheckS     float64
+	SaveS      float64
+	DeadlineS  float64
+	NoDeadline bool
+}
+
+type jobBody struct {
+	ID        *string  `json:"nameId"`
+	Class     *string  `json:"flock"`
+	Team      *string  `json:"crew"`
+	Kind      *string  `json:"shape"`
+	Priority  *string  `json:"rank"`
+	Tasks     *float64 `json:"eggs"`
+	CPUs      *float64 `json:"cpus"`
+	GPUs      *float64 `json:"cards"`
+	RAM       *float64 `json:"ramGb"`
+	Image     *string  `json:"plumage"`
+	ImageGB   *float64 `json:"imageGb"`
+	Types     []string `json:"hulls"`
+	Zone      *string  `json:"shore"`
+	OneZone   *bool    `json:"samePlace"`
+	Spread    *bool    `json:"spread"`
+	Spot      *bool    `json:"driftwood"`
+	EstimateS *float64 `json:"reckonS"`
+	CheckS    *float64 `json:"moultS"`
+	SaveS     *float64 `json:"stowS"`
+	DeadlineS *float64 `json:"dueS"`
+}
+
+// maxAmount bounds every amount, so that sums of them stay exact.
+const maxAmount = 1e9
+
+const maxName = 200
+
+// ParseJob decodes and checks a submission; every error means status 400.
+func ParseJob(body []byte) (*Job, error) {
+	trimmed := strings.TrimLeft(string(body[:min(len(body), 64)]), " \t\r\n")
+	if !strings.HasPrefix(trimmed, "{") {
+		return nil, errors.New("body: not a JSON object")
+	}
+	var b jobBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, fmt.Errorf("body: %w", err)
+	}
+	j := &Job{Types: b.Types, NoDeadline: b.DeadlineS == nil}
+	for _, f := range []struct {
+		name string
+		from *string
+		to   *string
+	}{
+		{"nameId", b.ID, &j.ID}, {"flock", b.Class, &j.Class}, {"crew", b.Team, &j.Team}, {"plumage", b.Image, &j.Image},
+	} {
+		if f.from == nil {
+			return nil, fmt.Errorf("%s: missing", f.name)
+		}
+		if *f.from == "" || len(*f.from) > maxName {
+			return nil, fmt.Errorf("%s: must have 1 to %d bytes", f.name, maxName)
+		}
+		*f.to = *f.from
+	}
+	if !ValidID(j.ID) {
+		return nil, fmt.Errorf("nameId: %q is not of the form wk-000000", j.ID)
+	}
+	if b.Kind == nil || *b.Kind != Array && *b.Kind != Service {
+		return nil, errors.New("shape: missing or unknown")
+	}
+	j.Service = *b.Kind == Service
+	if b.Priority == nil {
+		return nil, errors.New("rank: missing")
+	}
+	p, ok := priorities[*b.Priority]
+	if !ok {
+		return nil, errors.New("rank: unknown")
+	}
+	j.Priority = p
+	if b.Tasks == nil || *b.Tasks != math.Trunc(*b.Tasks) || *b.Tasks < 1 || *b.Tasks > MaxTasks {
+		return nil, fmt.Errorf("eggs: must be an integer from 1 to %d", MaxTasks)
+	}
+	j.Tasks = int(*b.Tasks)
+	zero := 0.0
+	due := b.DeadlineS
+	if due == nil {
+		due = &zero
+	}
+	for _, f := range []struct {
+		name string
+		from *float64
+		to   *float64
+	}{
+		{"cpus", b.CPUs, &j.CPUs}, {"cards", b.GPUs, &j.GPUs}, {"ramGb", b.RAM, &j.RAM}, {"imageGb", b.ImageGB, &j.ImageGB},
+		{"reckonS", b.EstimateS, &j.EstimateS}, {"moultS", b.CheckS, &j.CheckS}, {"stowS", b.SaveS, &j.SaveS}, {"dueS", due, &j.DeadlineS},
+	} {
+		if f.from == nil {
+			return nil, fmt.Errorf("%s: missing", f.name)
+		}
+		if !(*f.from >= 0 && *f.from <= maxAmount) {
+			return nil, fmt.Errorf("%s: must be between 0 and %g", f.name, maxAmount)
+		}
+		*f.to = *f.from
+	}
+	if len(j.Types) > 32 {
+		return nil, errors.New("hulls: more than 32")
+	}
+	for _, t := range j.Types {
+		if t == "" || len(t) > maxName {
+			return nil, fmt.Errorf("hulls: names must have 1 to %d bytes", maxName)
+		}
+	}
+	if b.Types != nil && len(b.Types) == 0 {
+		return nil, errors.New("hulls: an empty list allows no type")
+	}
+	if b.Zone != nil {
+		if *b.Zone == "" || len(*b.Zone) > maxName {
+			return nil, fmt.Errorf("shore: must have 1 to %d bytes", maxName)
+		}
+		j.Zone = *b.Zone
+	}
+	for _, f := range []struct {
+		name string
+		from *bool
+		to   *bool
+	}{{"samePlace", b.OneZone, &j.OneZone}, {"spread", b.Spread, &j.Spread}, {"driftwood", b.Spot, &j.Spot}} {
+		if f.from == nil {
+			return nil, fmt.Errorf("%s: missing", f.name)
+		}
+		*f.to = *f.from
+	}
+	return j, nil
+}
+
+// ValidID tells whether id has the form of a job's id.
+func ValidID(id string) bool {
+	digits, ok := strings.CutPrefix(id, "wk-")
+	if !ok || len(digits) == 0 || len(digits) > 20 {
+		return false
+	}
+	for _, c := range digits {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// JobState answers a user.
+type JobState struct {
+	ID      string `json:"nameId"`
+	State   string `json:"tide"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `json:"egg"`
+	Attempt uint64 `json:"launch"`
+	State   string `json:"tide"`
+	Why     string `json:"cause"`
+	Saved   bool   `json:"kept"`
+}
+
+// Report is a worker's report, or the body of its answer to a command.
+type Report struct {
+	Machine string       `json:"perch"`
+	Addr    string       `json:"addr"`
+	Type    string       `json:"hull"`
+	Zone    string       `json:"shore"`
+	Spot    bool         `json:"driftwood"`
+	Session uint64       `json:"watch"`
+	Seq     uint64       `json:"tally"`
+	Token   uint64       `json:"baton"`
+	NoticeS *float64     `json:"warningS"`
+	Tasks   []TaskReport `json:"eggs"`
+}
+
+// ParseReport decodes and checks a report.
+func ParseReport(body []byte) (*Report, error) {
+	var r Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	if r.Machine == "" || r.Session == 0 {
+		return nil, errors.New("report: machine or session is missing")
+	}
+	return &r, nil
+}
+
+// Command is one command to a worker.
+type Command struct {
+	Op      string   `json:"call"`
+	Task    string   `json:"egg"`
+	Attempt uint64   `json:"launch"`
+	GraceS  *float64 `json:"slackS,omitempty"`
+}
+
+// ReportAnswer is the answer to a report.
+type ReportAnswer struct {
+	Token    uint64    `json:"baton"`
+	Commands []Command `json:"calls"`
+}
+
+// Redirect names the node that a worker should report to.
+type Redirect struct {
+	Node string `json:"harbour,omitempty"`
+}
+
+// Direct is a request of commands sent straight to a worker.
+type Direct struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"watch"`
+	Commands []Command `json:"calls"`
+}
+
+// MachineType is one type of machine on offer.
+type MachineType struct {
+	Name      string   `json:"label"`
+	CPUs      float64  `json:"cpus"`
+	GPUs      float64  `json:"cards"`
+	RAM       float64  `json:"ramGb"`
+	CacheGB   float64  `json:"cacheGb"`
+	FetchGBPS float64  `json:"pullGbPerS"`
+	Price     float64  `json:"price"`
+	SpotPrice float64  `json:"spotPrice"`
+	BootS     float64  `json:"startupS"`
+	Zones     []string `json:"shores"`
+}
+
+// MachineTypes is the list of types.
+type MachineTypes struct {
+	Types []MachineType `json:"hulls"`
+}
+
+// RentRequest asks the cloud for machines.
+type RentRequest struct {
+	Request string `json:"charter"`
+	Type    string `json:"hull"`
+	Zone    string `json:"shore"`
+	Spot    bool   `json:"driftwood"`
+	Count   int    `json:"howMany"`
+}
+
+// MachineNames lists machines by name.
+type MachineNames struct {
+	Machines []string `json:"perches"`
+}
+
+// CloudMachine is one machine in the cloud's list.
+type CloudMachine struct {
+	Name  string  `json:"nameId"`
+	Addr  string  `json:"addr"`
+	Type  string  `json:"hull"`
+	Zone  string  `json:"shore"`
+	Spot  bool    `json:"driftwood"`
+	State string  `json:"tide"`
+	AgeS  float64 `json:"heldS"`
+}
+
+// CloudList is one page of the cloud's list.
+type CloudList struct {
+	Machines []CloudMachine `json:"perches"`
+	More     bool           `json:"truncated"`
+}
+
+// Condition of a transaction.
+type Condition struct {
+	Key     string `json:"k"`
+	Version uint64 `json:"stamp"`
+}
+
+// Change of a transaction: a put, or a delete.
+type Change struct {
+	Put    string          `json:"write,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Lease  uint64          `json:"mooring,omitempty"`
+	Delete string          `json:"drop,omitempty"`
+}
+
+// Key that the change is about.
+func (c *Change) Key() string { return c.Put + c.Delete }
+
+// Txn is a transaction.
+type Txn struct {
+	If   []Condition `json:"if"`
+	Then []Change    `json:"then,omitempty"`
+}
+
+// TxnAnswer is its answer.
+type TxnAnswer struct {
+	Revision uint64   `json:"logmark"`
+	Failed   []string `json:"failed"`
+}
+
+// Item is one stored key.
+type Item struct {
+	Key     string          `json:"k"`
+	Value   json.RawMessage `json:"v"`
+	Version uint64          `json:"stamp"`
+}
+
+// Page is one page of stored keys.
+type Page struct {
+	Items    []Item `json:"rows"`
+	More     bool   `json:"truncated"`
+	Revision uint64 `json:"logmark"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Put     string          `json:"write"`
+	Delete  string          `json:"drop"`
+	Value   json.RawMessage `json:"v"`
+	Version uint64          `json:"stamp"`
+}
+
+// Events are the answer of a watch.
+type Events struct {
+	Revision uint64  `json:"logmark"`
+	Events   []Event `json:"news"`
+}
+
+// LeaseRequest asks for a lease of the state service.
+type LeaseRequest struct {
+	TTLMS int64 `json:"lifeMs"`
+}
+
+// LeaseAnswer names it.
+type LeaseAnswer struct {
+	Lease uint64 `json:"mooring"`
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# The project's whole check: formatting, vet, the deployed build, the tests.
+set -euo pipefail
+cd "$(dirname "$0")"
+unformatted=$(gofmt -l cmd internal)
+if [ -n "$unformatted" ]; then
+  echo "not formatted:" $unformatted
+  exit 1
+fi
+go vet ./...
+go build -ldflags=-linkmode=external -o target/eiderhitch ./cmd/eiderhitch
+go test -race ./...
