--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -22,6 +22,7 @@
 	active   bool
 	since    time.Time
 	writes   int // in flight
+	ahead    []int
 	rented   map[string]*rented
 	leaving  map[string]bool // being released
 	idle     map[string]time.Time
@@ -325,8 +326,16 @@
 	}
 	slices.SortFunc(jobs, byUrgency)
 	limits := b.limits()
+	b.lead.ahead = b.dealAhead(lost)
 	for _, j := range jobs {
 		dealt, _ := j.dealt()
+		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Service {
+			if left := j.spec.Tasks - dealt; left > 0 {
+				n := limits[j.team].Room(j.need, left)
+				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j)})
+			}
+			continue
+		}
 		if left := j.spec.Tasks - dealt; left > 0 {
 			if w := b.dealJob(hosts, limits, j, dealt, left); w.count > 0 {
 				wants = append(wants, w)
@@ -336,6 +345,35 @@
 	return wants
 }
 
+// dealEvery spaces the dealings of one array: it is dealt out in few records.
+const dealEvery = time.Second
+
+// dealAhead is how many tasks each part may be dealt beyond its free room, so
+// that an ending task's cell is taken again without asking the leader: about
+// what ends between two dealings.
+func (b *brain) dealAhead(lost map[*rec]int) []int {
+	out := make([]int, len(b.parts))
+	for _, r := range b.recs {
+		if r != nil && r.job.spec != nil && !r.job.spec.Service && r.part >= 0 && r.part < len(out) {
+			out[r.part] += r.bound()
+		}
+	}
+	for p := range out {
+		out[p] = (out[p] + 9) / 10
+	}
+	for r, n := range lost {
+		if r.part >= 0 && r.part < len(out) {
+			out[r.part] -= n
+		}
+	}
+	return out
+}
+
+// partCan tells whether a part has a machine that a task may be on.
+func (b *brain) partCan(hosts []*core.Host, p int, can func(*core.Host) bool) bool {
+	return slices.ContainsFunc(hosts, func(h *core.Host) bool { return h.Part == p && can(h) })
+}
+
 // window is the time within which an array's waiting tasks should be through.
 func (b *brain) window(j *job) float64 {
 	if j.spec.Service {
@@ -406,6 +444,13 @@
 		for h, k := range core.Take(hosts, can, j.need, n) {
 			perPart[h.Part] += k
 		}
+		for p := range perPart {
+			if left := n - sum(perPart); left > 0 && b.lead.ahead[p] > 0 && b.partCan(hosts, p, can) {
+				k := min(left, b.lead.ahead[p])
+				b.lead.ahead[p] -= k
+				perPart[p] += k
+			}
+		}
 		for got2 := 0; got2 < n; got2++ {
 			h := core.Evictable(hosts, can, j.need, claim)
 			if h == nil || h.Free.Plus(j.need) == h.Size {
@@ -427,26 +472,30 @@
 			break
 		}
 	}
-	use := j.need.Times(got)
-	lim.Used = lim.Used.Plus(use)
-	k := 0
-	for id := range j.recs {
-		k = max(k, id+1)
+	if most := b.cfg.Settings.State.TxnOps / 2; len(chunks) > most {
+		for _, g := range chunks[most:] {
+			got -= len(g.Tasks)
+		}
+		chunks = chunks[:most]
 	}
-	for i := range chunks {
-		g := chunks[i]
+	lim.Used = lim.Used.Plus(j.need.Times(got))
+	// All records of one dealing are written together or not at all: which
+	// tasks are dealt already is known by their number alone, so a gap, left by
+	// one write that failed, would have a later dealing hand out tasks twice.
+	term := b.lead.term
+	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	for _, g := range chunks {
 		if g.Own {
 			lim.OwnUsed = lim.OwnUsed.Plus(j.need.Times(len(g.Tasks)))
 		}
-		key := groupKey(j.id, k+i)
-		b.lead.writes++
-		term := b.lead.term
-		b.write(&store.Unit{
-			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}, {Key: key}},
-			Then: []wire.Change{{Put: key, Value: mustJSON(g)}},
-		}, func(err error) { b.leadWrote(term, err) })
+		key := groupKey(j.id, j.newRec())
+		u.If = append(u.If, wire.Condition{Key: key})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(g)})
 	}
 	if got > 0 {
+		j.dealtAt = b.now
+		b.lead.writes++
+		b.write(u, func(err error) { b.leadWrote(term, err) })
 		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
 	}
 	w := want{job: spec, need: j.need, count: room - got, service: spec.Service, windowS: b.window(j)}
@@ -633,17 +682,13 @@
 	}
 	in := func(h *core.Host) bool { return h.Part == best && can(h) }
 	core.Take(hosts, in, r.job.need, len(move))
-	k := 0
-	for id := range r.job.recs {
-		k = max(k, id+1)
-	}
 	moved := *r
 	moved.part = best
 	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
 	if len(stay) == 0 {
 		u.Then = []wire.Change{{Put: r.key, Value: moved.value(r.done, move)}}
 	} else {
-		key := groupKey(r.job.id, k)
+		key := groupKey(r.job.id, r.job.newRec())
 		u.If = append(u.If, wire.Condition{Key: key})
 		u.Then = []wire.Change{{Put: r.key, Value: r.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -100,12 +100,22 @@
 	recs  map[int]*rec
 	loc   map[int32]*rec // of each task that is dealt and not done
 
-	dealing  bool            // a leader's write is in flight
+	nextRec  int
+	dealtAt  time.Time
 	ending   bool            // a write of the fate is in flight
 	failedOn map[string]bool // machines on which tasks of it failed
 	retryAt  time.Time       // nothing of it is placed before then
 }
 
+// newRec is the number of a record that the job has never had.
+func (j *job) newRec() int {
+	for k := range j.recs {
+		j.nextRec = max(j.nextRec, k+1)
+	}
+	j.nextRec++
+	return j.nextRec - 1
+}
+
 func (j *job) dealt() (n, finished int) {
 	for _, r := range j.recs {
 		n += len(r.entries) + r.done
