--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -185,16 +185,19 @@
 // drift bounds how far steady clocks of different machines drift apart.
 const drift = 0.0005
 
-// leaseMargin covers messages under way and timers that fire late.
-const leaseMargin = 1500 * time.Millisecond
+// leaseMargin covers messages under way and timers that fire late. Where a
+// cancellation leaves little more than a lease, it is what can be had.
+func leaseMargin(cancelS, leaseS float64) time.Duration {
+	return min(1500*time.Millisecond, Seconds((cancelS-leaseS)/6))
+}
 
 // Seconds turns a settings' number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // LeaseEnd is how long after the last answer that could renew a worker's
 // lease all its tasks are surely gone, on any machine's clock.
-func LeaseEnd(leaseS float64) time.Duration {
-	return Seconds(leaseS*(1+2*drift)) + leaseMargin
+func LeaseEnd(cancelS, leaseS float64) time.Duration {
+	return Seconds(leaseS*(1+2*drift)) + leaseMargin(cancelS, leaseS)
 }
 
 // HoldTime bounds how long an owner may answer reports after the start of its
@@ -202,5 +205,5 @@
 // a user "cancelled" right after that read, and all tasks must be gone within
 // cancelS of it, which for an unreachable worker means one whole lease later.
 func HoldTime(cancelS, leaseS float64) time.Duration {
-	return Seconds(cancelS*(1-2*drift)) - LeaseEnd(leaseS) - leaseMargin
+	return Seconds(cancelS*(1-2*drift)) - LeaseEnd(cancelS, leaseS) - leaseMargin(cancelS, leaseS)
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -317,7 +317,7 @@
 		if !r.writing && b.now.Sub(r.since) > time.Second && b.moveStuck(hosts, r, n) {
 			continue
 		}
-		wants = append(wants, want{job: spec, zone: r.zone, need: r.job.need, count: n, service: spec.Service, windowS: b.window(r.job)})
+		wants = append(wants, want{job: spec, zone: r.zone, need: r.job.need, count: n, service: spec.Whole(), windowS: b.window(r.job)})
 	}
 	for _, j := range b.jobs {
 		if j.fate == live && j.spec != nil && j.stamp != 0 {
@@ -329,7 +329,7 @@
 	b.lead.ahead = b.dealAhead(lost)
 	for _, j := range jobs {
 		dealt, _ := j.dealt()
-		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Service {
+		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Whole() {
 			if left := j.spec.Tasks - dealt; left > 0 {
 				n := limits[j.team].Room(j.need, left)
 				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j)})
@@ -354,7 +354,7 @@
 func (b *brain) dealAhead(lost map[*rec]int) []int {
 	out := make([]int, len(b.parts))
 	for _, r := range b.recs {
-		if r != nil && r.job.spec != nil && !r.job.spec.Service && r.part >= 0 && r.part < len(out) {
+		if r != nil && r.job.spec != nil && !r.job.spec.Whole() && r.part >= 0 && r.part < len(out) {
 			out[r.part] += r.bound()
 		}
 	}
@@ -392,8 +392,8 @@
 	spec := j.spec
 	lim := &limits[j.team]
 	room := lim.Room(j.need, left)
-	if spec.Service && room < left {
-		room = 0 // a service is dealt whole
+	if spec.Whole() && room < left {
+		room = 0 // it is dealt whole
 	}
 	if room == 0 {
 		return want{}
@@ -429,8 +429,8 @@
 			continue
 		}
 		can := func(h *core.Host) bool { return !h.Booting && allowed(spec, zone, h.Type, h.Zone, h.Spot) }
-		if spec.Service {
-			// The whole service in one part, so that its cells are reserved
+		if spec.Whole() {
+			// The whole group in one part, so that its cells are reserved
 			// together; its part's owner evicts where there is no free room.
 			part, ok := b.servicePart(hosts, can, j.need, n, claim)
 			if !ok {
@@ -498,7 +498,7 @@
 		b.write(u, func(err error) { b.leadWrote(term, err) })
 		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
 	}
-	w := want{job: spec, need: j.need, count: room - got, service: spec.Service, windowS: b.window(j)}
+	w := want{job: spec, need: j.need, count: room - got, service: spec.Whole(), windowS: b.window(j)}
 	if spec.OneZone {
 		w.zone = b.pinned(j)
 	}
@@ -644,8 +644,11 @@
 // that has. Its owner's writes lose by the record's version.
 func (b *brain) moveStuck(hosts []*core.Host, r *rec, n int) bool {
 	spec := r.job.spec
-	if spec.Service && n < len(r.entries) && r.bound() == 0 {
-		n = len(r.entries) // a service that has not started moves whole
+	if spec.Whole() && n < len(r.entries) && r.bound() == 0 {
+		n = len(r.entries) // a group that has not started moves whole
+	}
+	if spec.Gang && r.bound() > 0 {
+		return false
 	}
 	perPart := make([]int, len(b.parts))
 	can := func(h *core.Host) bool {
@@ -666,7 +669,7 @@
 			best, most = h.Part, 1
 		}
 	}
-	if best < 0 || spec.Service && r.bound() == 0 && most < n {
+	if best < 0 || spec.Whole() && r.bound() == 0 && most < n {
 		return false
 	}
 	var move, stay []entry
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -300,10 +300,31 @@
 	if c := p.cells.CellOf(t); c != nil && c.State == core.Reserving {
 		return true
 	}
+	if r.job.spec != nil && r.job.spec.Gang && b.broken(r) {
+		return true
+	}
 	// A task that can save is stopped before its machine is taken.
 	return !m.notice.IsZero() && r.job.spec != nil && r.job.spec.CheckS > 0 || m.suspect
 }
 
+// broken tells whether a gang has lost a member that is not done: the others
+// stop, and the gang starts whole again.
+func (b *brain) broken(r *rec) bool {
+	for _, o := range r.job.recs {
+		for i := range o.entries {
+			e := &o.entries[i]
+			if e.m == nil {
+				if e.attempt > 0 {
+					return true
+				}
+			} else if x, ok := b.outcomes[o.task(e.num)]; ok && x.attempt == e.attempt && !x.done {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // commands are what a machine should do, by its newest report.
 func (b *brain) commands(m *machine, p *part) []wire.Command {
 	var stops, starts []wire.Command
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -70,25 +70,27 @@
 // start together, everything else one by one. Tasks of one record are alike,
 // so the first that finds no room speaks for all behind it.
 func (b *brain) place(p *part, r *rec) {
-	var pending []core.Task
-	started := false
-	for i := range r.entries {
-		e := &r.entries[i]
-		t := r.task(e.num)
-		if e.attempt > 0 {
-			started = true
-		}
-		if e.m != nil {
-			continue
-		}
-		if _, ok := p.alloc[t]; ok || p.cells.Waiting(t) != nil {
-			continue
-		}
-		pending = append(pending, t)
-	}
+	pending, busy, started := b.pending(p, r)
 	if len(pending) == 0 {
 		return
 	}
+	spec := r.job.spec
+	if spec.Gang || spec.Service && !started {
+		// All records of the job in this part are one group.
+		for _, o := range r.job.recs {
+			if o == r || o.part != p.n {
+				continue
+			}
+			if o.k < r.k {
+				return // asked for with the first record
+			}
+			more, otherBusy, otherStarted := b.pending(p, o)
+			pending, busy, started = append(pending, more...), busy || otherBusy, started || otherStarted
+		}
+		if spec.Gang && busy {
+			return // a gang that lost a member starts again when all are back
+		}
+	}
 	score := b.scorer(p, r)
 	request := func(tasks ...core.Task) bool {
 		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim()}
@@ -104,7 +106,7 @@
 		}
 		return g.State != core.Pending
 	}
-	if r.job.spec.Service && !started {
+	if spec.Gang || spec.Service && !started {
 		request(pending...)
 		return
 	}
@@ -115,6 +117,22 @@
 	}
 }
 
+// pending lists a record's tasks that neither are nor claim to be anywhere;
+// busy: others do; started: some have run before.
+func (b *brain) pending(p *part, r *rec) (out []core.Task, busy, started bool) {
+	for i := range r.entries {
+		e := &r.entries[i]
+		t := r.task(e.num)
+		started = started || e.attempt > 0
+		if _, ok := p.alloc[t]; ok || e.m != nil || p.cells.Waiting(t) != nil {
+			busy = true
+			continue
+		}
+		out = append(out, t)
+	}
+	return out, busy, started
+}
+
 // scorer rates machines for a record's tasks; negative: not allowed.
 func (b *brain) scorer(p *part, r *rec) core.Score {
 	j := r.job.spec
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -46,7 +46,7 @@
 		inbox: make(chan func(), inboxSize), cloudQ: make(chan func(), cloudQueue),
 		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS),
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS), fl: fleet.NewClient(max(s.Limits.MaxSockets/6, 4)),
-		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.LeaseS),
+		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]time.Time{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{},
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -118,7 +118,7 @@
 // impossible says why a job can never run, or "".
 func (b *brain) impossible(j *wire.Job) string {
 	tasks := 1
-	if j.Service {
+	if j.Whole() {
 		tasks = j.Tasks
 	}
 	found := false
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -34,6 +34,7 @@
 
 	Array   = "batch"
 	Service = "daemon"
+	Gang    = "gang"
 
 	MachineStarting = "starting"
 	MachineFailed   = "failed"
@@ -53,6 +54,7 @@
 	Class      string
 	Team       string
 	Service    bool
+	Gang       bool
 	Priority   int
 	Tasks      int
 	CPUs       float64
@@ -129,10 +131,10 @@
 	if !ValidID(j.ID) {
 		return nil, fmt.Errorf("nameId: %q is not of the form wk-000000", j.ID)
 	}
-	if b.Kind == nil || *b.Kind != Array && *b.Kind != Service {
+	if b.Kind == nil || *b.Kind != Array && *b.Kind != Service && *b.Kind != Gang {
 		return nil, errors.New("shape: missing or unknown")
 	}
-	j.Service = *b.Kind == Service
+	j.Service, j.Gang = *b.Kind == Service, *b.Kind == Gang
 	if b.Priority == nil {
 		return nil, errors.New("rank: missing")
 	}
@@ -210,6 +212,9 @@
 	return true
 }
 
+// Whole tells whether the job's tasks are started together or not at all.
+func (j *Job) Whole() bool { return j.Service || j.Gang }
+
 // JobState answers a user.
 type JobState struct {
 	ID      string `json:"nameId"`
