--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -55,15 +55,18 @@
 
 type server struct {
 	s     Service
-	log   *slog.Logger
 	slots chan struct{}
 }
 
+// Handler answers requests with what s says.
+func Handler(s Service, lim Limits) http.Handler {
+	return (&server{s: s, slots: make(chan struct{}, lim.Requests)}).routes()
+}
+
 // Serve answers requests on l until ctx ends.
 func Serve(ctx context.Context, l net.Listener, s Service, log *slog.Logger, lim Limits) error {
-	h := &server{s: s, log: log, slots: make(chan struct{}, lim.Requests)}
 	srv := &http.Server{
-		Handler: h.routes(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
+		Handler: Handler(s, lim), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
 		IdleTimeout: 75 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -32,15 +32,11 @@
 	limit *rate.Limiter
 }
 
-// NewClient returns a client for the cloud at addr.
-func NewClient(addr string, rps float64) *Client {
-	return &Client{base: "http://" + addr, limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps))),
-		http: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
+// NewClient returns a client that reaches the cloud at addr by rt.
+func NewClient(addr string, rps float64, rt http.RoundTripper) *Client {
+	return &Client{base: "http://" + addr, limit: rate.NewLimiter(rate.Limit(rps*0.8), max(1, int(rps))), http: &http.Client{Transport: rt}}
 }
 
-// Close gives up idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 func (c *Client) call(ctx context.Context, method, path string, body, out any) error {
 	if err := c.limit.Wait(ctx); err != nil {
 		return err
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -62,7 +62,7 @@
 	machines map[string]*machine
 	byIdx    []*machine
 	siblings map[string]*sibling
-	senders  []*mesh.Sender
+	send     func(frame []byte)
 	lead     leader
 	outcomes map[core.Task]outcome
 	stepDue  bool
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -451,15 +451,12 @@
 				perPart[p] += k
 			}
 		}
-		for got2 := 0; got2 < n; got2++ {
+		for sum(perPart) < n {
 			h := core.Evictable(hosts, can, j.need, claim)
-			if h == nil || h.Free.Plus(j.need) == h.Size {
+			if h == nil {
 				break
 			}
 			perPart[h.Part]++
-			if sum(perPart) >= n {
-				break
-			}
 		}
 		for part, k := range perPart {
 			k = min(k, room-got)
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -38,14 +39,21 @@
 	minStepPeriod = 20 * time.Millisecond
 )
 
-func newBrain(ctx context.Context, cfg *config.Platform, log *slog.Logger) *brain {
+// outside is how a controller reaches the world.
+type outside struct {
+	state, cloud, workers http.RoundTripper
+	// send hands a status frame to all siblings.
+	send func(frame []byte)
+}
+
+func newBrain(ctx context.Context, cfg *config.Platform, log *slog.Logger, out outside) *brain {
 	s := &cfg.Settings
-	st := store.NewClient(cfg.External.State)
+	st := store.NewClient(cfg.External.State, out.state)
 	b := &brain{
 		cfg: cfg, log: log.With("node", cfg.Name), boot: fmt.Sprintf("%016x", rand.Uint64()), ctx: ctx,
 		inbox: make(chan func(), inboxSize), cloudQ: make(chan func(), cloudQueue),
 		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS),
-		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS), fl: fleet.NewClient(max(s.Limits.MaxSockets/6, 4)),
+		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]time.Time{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
@@ -63,7 +71,6 @@
 	}
 	for _, x := range cfg.Siblings {
 		b.siblings[x.Name] = &sibling{}
-		b.senders = append(b.senders, mesh.NewSender(x.Addr))
 	}
 	return b
 }
@@ -81,22 +88,30 @@
 		apiL.Close()
 		return fmt.Errorf("mesh_addr: %w", err)
 	}
-	b := newBrain(ctx, cfg, log)
+	s := &cfg.Settings
+	transport := func(perHost, idle int, keep time.Duration) *http.Transport {
+		return &http.Transport{MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, MaxIdleConns: idle, IdleConnTimeout: keep, DisableCompression: true}
+	}
+	state, cl, fl := transport(16, 16, 30*time.Second), transport(4, 4, 30*time.Second), transport(1, max(s.Limits.MaxSockets/6, 4), 20*time.Second)
+	var senders []*mesh.Sender
+	for _, x := range cfg.Siblings {
+		senders = append(senders, mesh.NewSender(x.Addr))
+	}
+	b := newBrain(ctx, cfg, log, outside{state: state, cloud: cl, workers: fl, send: func(frame []byte) {
+		for _, s := range senders {
+			s.Offer(frame)
+		}
+	}})
 	b.log.Info("controller starts", "boot", b.boot, "parts", len(b.parts), "hold", b.hold)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	defer func() { b.st.Close(); b.cl.Close(); b.fl.Close() }()
+	defer func() { state.CloseIdleConnections(); cl.CloseIdleConnections(); fl.CloseIdleConnections() }()
 	wg.Go(func() { mesh.Serve(ctx, meshL, b.log, func(s *mesh.Status) { b.post(func() { b.takeStatus(s) }) }) })
-	for _, s := range b.senders {
+	for _, s := range senders {
 		wg.Go(func() { s.Run(ctx) })
 	}
-	wg.Go(func() { b.wr.Run(ctx) })
-	wg.Go(b.follow)
-	for range 2 {
-		wg.Go(b.workCloud)
-	}
-	wg.Go(b.loop)
+	b.start(&wg)
 	conns := max(cfg.Settings.Limits.MaxSockets*2/3, 8)
 	err = api.Serve(ctx, apiL, b, b.log, api.Limits{Connections: conns, Requests: max(conns/2, 4)})
 	if ctx.Err() != nil {
@@ -105,6 +120,16 @@
 	return err
 }
 
+// start begins the long-lived duties.
+func (b *brain) start(wg *sync.WaitGroup) {
+	wg.Go(func() { b.wr.Run(b.ctx) })
+	wg.Go(b.follow)
+	for range 2 {
+		wg.Go(b.workCloud)
+	}
+	wg.Go(b.loop)
+}
+
 // loop is the actor: it alone touches the brain's state.
 func (b *brain) loop() {
 	t := time.NewTicker(tick)
@@ -143,10 +168,7 @@
 		if !b.now.Before(nextStatus) {
 			nextStatus = b.now.Add(statusEvery)
 			b.probeSilent()
-			frame := mesh.AppendStatus(nil, b.status())
-			for _, s := range b.senders {
-				s.Offer(frame)
-			}
+			b.send(mesh.AppendStatus(nil, b.status()))
 		}
 		if b.now.After(nextMetrics) {
 			nextMetrics = b.now.Add(metricsEvery)
--- /dev/null
+++ b/internal/controller/world_test.go
@@ -0,0 +1,553 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eiderhitch/internal/api"
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/wire"
+)
+
+// cluster is three controllers among stand-ins, all on fake time.
+type cluster struct {
+	t     *testing.T
+	ctx   context.Context
+	world *standin.World
+	nodes []*node
+	user  *standin.Net
+	next  int
+}
+
+type node struct {
+	cfg     *config.Platform
+	net     *standin.Net
+	brain   *brain
+	cancel  context.CancelFunc
+	wg      *sync.WaitGroup
+	meshCut atomic.Bool
+	mu      sync.Mutex
+}
+
+var testTypes = []wire.MachineType{
+	{Name: "small", CPUs: 4, RAM: 16, CacheGB: 20, FetchGBPS: 1, Price: 0.4, SpotPrice: 0.1, BootS: 5, Zones: []string{"a", "b"}},
+	{Name: "large", CPUs: 16, RAM: 64, CacheGB: 50, FetchGBPS: 1, Price: 1.2, SpotPrice: 0.3, BootS: 8, Zones: []string{"a"}},
+}
+
+// inWorld runs f with a started cluster and checks afterwards that no rule and
+// no limit of the state service was broken.
+func inWorld(t *testing.T, f func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		names, addrs := []string{"n0", "n1", "n2"}, []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
+		w := standin.NewWorld(ctx, names, addrs, testTypes)
+		c := &cluster{t: t, ctx: ctx, world: w, user: w.Net()}
+		for i, name := range names {
+			cfg := &config.Platform{Name: name, Zone: "a", APIAddr: addrs[i]}
+			for k, other := range names {
+				if k != i {
+					cfg.Siblings = append(cfg.Siblings, config.Sibling{Name: other, Addr: addrs[k]})
+				}
+			}
+			cfg.External.State, cfg.External.Cloud = "state:1", "cloud:1"
+			s := &cfg.Settings
+			s.Count, s.Zones = 3, []string{"a", "b"}
+			s.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 24}, {Name: "blue"}}
+			s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = w.ReportS, w.LeaseS, w.CancelS
+			s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 250, 60, 8, 32
+			s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
+			c.nodes = append(c.nodes, &node{cfg: cfg, net: w.Net()})
+		}
+		w.SetLimit("red", 24)
+		for i := range c.nodes {
+			c.start(i)
+		}
+		defer func() {
+			for i := range c.nodes {
+				c.kill(i)
+			}
+			cancel()
+			time.Sleep(time.Minute) // whatever still waits ends on the bubble's clock
+		}()
+		f(c)
+		for _, b := range w.Breaches() {
+			t.Error(b)
+		}
+		if w.State.Excess > 0 {
+			t.Errorf("%d transactions were beyond the limits", w.State.Excess)
+		}
+	})
+}
+
+func (c *cluster) start(i int) {
+	n := c.nodes[i]
+	if n.cancel != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	out := io.Writer(io.Discard)
+	if testing.Verbose() && os.Getenv("LOG_LEVEL") == "debug" {
+		out = os.Stderr
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	b := newBrain(ctx, n.cfg, log, outside{state: n.net, cloud: n.net, workers: n.net, send: func(frame []byte) {
+		for k, o := range c.nodes {
+			o.mu.Lock()
+			to, cut := o.brain, o.meshCut.Load() || n.meshCut.Load()
+			o.mu.Unlock()
+			if k == i || to == nil || cut {
+				continue
+			}
+			s, err := mesh.ReadStatus(bytes.NewReader(frame))
+			if err != nil {
+				c.t.Error(err)
+				return
+			}
+			go to.post(func() { to.takeStatus(s) })
+		}
+	}})
+	n.mu.Lock()
+	n.brain, n.cancel, n.wg = b, cancel, &sync.WaitGroup{}
+	n.mu.Unlock()
+	b.start(n.wg)
+	c.world.Serve(n.cfg.APIAddr, api.Handler(b, api.Limits{Connections: 100, Requests: 50}))
+}
+
+func (c *cluster) kill(i int) {
+	n := c.nodes[i]
+	if n.cancel == nil {
+		return
+	}
+	c.world.Serve(n.cfg.APIAddr, nil)
+	n.mu.Lock()
+	cancel, wg := n.cancel, n.wg
+	n.brain, n.cancel = nil, nil
+	n.mu.Unlock()
+	cancel()
+	wg.Wait()
+}
+
+// call tries the nodes in turn until one gives a final answer.
+func (c *cluster) call(method, path string, body any, within time.Duration) (int, map[string]any) {
+	raw, _ := json.Marshal(body)
+	until := time.Now().Add(within)
+	for time.Now().Before(until) {
+		c.next++
+		ctx, cancel := context.WithTimeout(c.ctx, 5*time.Second)
+		req, _ := http.NewRequestWithContext(ctx, method, "http://"+c.nodes[c.next%3].cfg.APIAddr+path, bytes.NewReader(raw))
+		resp, err := c.user.RoundTrip(req)
+		cancel()
+		if err == nil && resp.StatusCode < 500 {
+			var out map[string]any
+			_ = json.NewDecoder(resp.Body).Decode(&out)
+			return resp.StatusCode, out
+		}
+		time.Sleep(time.Second)
+	}
+	return 0, nil
+}
+
+func jobBody(id, kind, team, priority string, tasks int, cpus, estimate float64) map[string]any {
+	return map[string]any{"nameId": id, "flock": "x", "crew": team, "shape": kind, "rank": priority, "eggs": tasks,
+		"cpus": cpus, "cards": 0, "ramGb": 1, "plumage": "img", "imageGb": 1, "samePlace": false, "spread": false, "driftwood": false,
+		"reckonS": estimate, "moultS": 0, "stowS": 0}
+}
+
+func (c *cluster) submit(body map[string]any) {
+	c.t.Helper()
+	if !c.trySubmit(body) {
+		c.t.Fatalf("%v is not accepted", body)
+	}
+}
+
+func (c *cluster) trySubmit(body map[string]any) bool {
+	c.t.Helper()
+	raw, _ := json.Marshal(body)
+	j, err := wire.ParseJob(raw)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.world.Submitted(j)
+	status, _ := c.call(http.MethodPost, "/v1/jobs", body, 20*time.Second)
+	if status != 0 && status != http.StatusCreated && status != http.StatusOK {
+		c.t.Fatalf("submission of %s: status %d", j.ID, status)
+	}
+	return status != 0
+}
+
+func (c *cluster) state(id string) string {
+	status, out := c.call(http.MethodGet, "/v1/jobs/"+id, nil, 40*time.Second)
+	if status != http.StatusOK {
+		c.t.Fatalf("poll of %s: status %d", id, status)
+	}
+	s, _ := out["tide"].(string)
+	if s == wire.Done {
+		c.world.ToldDone(id)
+	}
+	return s
+}
+
+func (c *cluster) abort(id string) {
+	c.t.Helper()
+	if !c.tryAbort(id) {
+		c.t.Fatalf("%s can't be cancelled", id)
+	}
+}
+
+func (c *cluster) tryAbort(id string) bool {
+	c.t.Helper()
+	status, out := c.call(http.MethodPost, "/v1/jobs/"+id+"/abort", nil, 20*time.Second)
+	if status != 0 && status != http.StatusOK {
+		c.t.Fatalf("abort of %s: status %d", id, status)
+	}
+	if out["tide"] == wire.Cancelled {
+		c.world.Cancelled(id)
+	}
+	return status != 0
+}
+
+func (c *cluster) await(what string, limit time.Duration, ok func() bool) {
+	c.t.Helper()
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(time.Second) {
+		if ok() {
+			return
+		}
+	}
+	c.t.Fatalf("%s: not within %v", what, limit)
+}
+
+func (c *cluster) awaitDone(id string, limit time.Duration) {
+	c.t.Helper()
+	c.await(id+" is done", limit, func() bool { return c.state(id) == wire.Done })
+}
+
+func TestArraysServicesAndGangsRun(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 30, 2, 5))
+		c.submit(jobBody("wk-2", wire.Service, "blue", "urgent", 3, 2, 0))
+		c.submit(jobBody("wk-3", wire.Gang, "blue", "normal", 4, 2, 5))
+		c.await("the service runs", 40*time.Second, func() bool { return c.world.Running("wk-2") == 3 })
+		c.awaitDone("wk-1", 2*time.Minute)
+		c.awaitDone("wk-3", 2*time.Minute)
+		c.abort("wk-2")
+		c.await("the service is gone", 10*time.Second, func() bool { return c.world.Running("wk-2") == 0 })
+		c.await("records are cleared up", time.Minute, func() bool { return len(c.world.State.Keys(preGroup)) == 0 })
+		c.await("machines are returned", time.Minute, func() bool { return len(c.world.Cloud.Workers()) == 0 })
+		if s := c.state("wk-2"); s != wire.Cancelled {
+			t.Errorf("the service is %s", s)
+		}
+	})
+}
+
+func TestUsersAreAnswered(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		time.Sleep(5 * time.Second)
+		good := jobBody("wk-7", wire.Array, "red", "low", 2, 1, 1)
+		for _, x := range []struct {
+			change func(map[string]any)
+			status int
+		}{
+			{func(b map[string]any) { b["crew"] = "green" }, 422},
+			{func(b map[string]any) { b["cpus"] = 17 }, 422},
+			{func(b map[string]any) { b["shape"], b["eggs"], b["cpus"] = wire.Service, 13, 2 }, 422},
+			{func(b map[string]any) { b["shore"] = "c" }, 422},
+			{func(b map[string]any) { b["eggs"] = 0 }, 400},
+			{func(b map[string]any) { delete(b, "stowS") }, 400},
+			{func(b map[string]any) { b["nameId"] = "job-1" }, 400},
+			{func(b map[string]any) { b["plumage"] = strings.Repeat("x", 70_000) }, 400},
+			{func(map[string]any) {}, 201},
+			{func(map[string]any) {}, 200},
+			{func(b map[string]any) { b["crew"] = "green" }, 200}, // known already: never refused
+		} {
+			body := map[string]any{}
+			for k, v := range good {
+				body[k] = v
+			}
+			x.change(body)
+			raw, _ := json.Marshal(body)
+			if j, err := wire.ParseJob(raw); err == nil && x.status == 201 {
+				c.world.Submitted(j)
+			}
+			if status, _ := c.call(http.MethodPost, "/v1/jobs", body, 10*time.Second); status != x.status {
+				t.Errorf("%v: status %d, not %d", body, status, x.status)
+			}
+		}
+		if status, _ := c.call(http.MethodGet, "/v1/jobs/wk-99", nil, 10*time.Second); status != 404 {
+			t.Errorf("unknown job: %d", status)
+		}
+	})
+}
+
+// A team never exceeds its limit, and a preemptor takes room from lower work.
+func TestLimitAndPreemption(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.world.Cloud.Capacity = 3
+		c.submit(jobBody("wk-1", wire.Array, "red", "low", 40, 2, 6))
+		c.await("the array runs", time.Minute, func() bool { return c.world.Running("wk-1") > 2 })
+		c.submit(jobBody("wk-2", wire.Array, "blue", "low", 40, 2, 6))
+		time.Sleep(30 * time.Second)
+		c.submit(jobBody("wk-3", wire.Service, "blue", "production", 2, 4, 0))
+		c.await("the service has preempted", 20*time.Second, func() bool { return c.world.Running("wk-3") == 2 })
+		c.awaitDone("wk-1", 10*time.Minute)
+		c.awaitDone("wk-2", 10*time.Minute)
+	})
+}
+
+func TestTakeOver(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 40, 2, 8))
+		c.await("the array runs", time.Minute, func() bool { return c.world.Running("wk-1") > 4 })
+		for i := range 3 {
+			c.kill(i)
+			time.Sleep(9 * time.Second)
+			c.start(i)
+			time.Sleep(4 * time.Second)
+		}
+		c.awaitDone("wk-1", 3*time.Minute)
+	})
+}
+
+func TestAllControllersRestart(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 40, 2, 8))
+		c.submit(jobBody("wk-2", wire.Array, "blue", "normal", 2, 2, 1))
+		c.awaitDone("wk-2", time.Minute)
+		for i := range c.nodes {
+			c.kill(i)
+		}
+		time.Sleep(3 * time.Second)
+		c.world.Cloud.SetDown(true) // the stored types must do
+		for i := range c.nodes {
+			c.start(i)
+		}
+		time.Sleep(5 * time.Second)
+		if s := c.state("wk-2"); s != wire.Done {
+			t.Errorf("a done job is %s", s)
+		}
+		c.submit(jobBody("wk-3", wire.Array, "blue", "normal", 1, 1, 1))
+		c.world.Cloud.SetDown(false)
+		c.awaitDone("wk-1", 3*time.Minute)
+		c.awaitDone("wk-3", time.Minute)
+	})
+}
+
+// Transactions that are applied long after the caller gave up change nothing
+// that has moved on.
+func TestLateTransactions(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 40, 2, 6))
+		c.await("the array runs", time.Minute, func() bool { return c.world.Running("wk-1") > 4 })
+		rng := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex
+		for _, n := range c.nodes {
+			n.net.LateBy = 3 * time.Second
+			n.net.Judge(func(r *http.Request) standin.Fate {
+				mu.Lock()
+				defer mu.Unlock()
+				if r.URL.Path == "/txn" && rng.IntN(4) == 0 {
+					return standin.Late
+				}
+				return standin.Deliver
+			})
+		}
+		time.Sleep(10 * time.Second)
+		c.kill(0)
+		time.Sleep(15 * time.Second)
+		c.start(0)
+		c.submit(jobBody("wk-2", wire.Array, "red", "normal", 10, 2, 3))
+		time.Sleep(20 * time.Second)
+		for _, n := range c.nodes {
+			n.net.Judge(nil)
+		}
+		c.awaitDone("wk-1", 3*time.Minute)
+		c.awaitDone("wk-2", 3*time.Minute)
+	})
+}
+
+// A direct start that arrives half a minute late must not run a task that has
+// been reaped or placed elsewhere meanwhile.
+func TestLateDirectStart(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		for _, n := range c.nodes {
+			n.net.LateBy = 30 * time.Second
+			n.net.Judge(func(r *http.Request) standin.Fate {
+				if r.URL.Path == "/do" {
+					return standin.Late
+				}
+				return standin.Deliver
+			})
+		}
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 30, 2, 3))
+		c.submit(jobBody("wk-2", wire.Service, "blue", "production", 2, 4, 0))
+		c.await("the service runs", time.Minute, func() bool { return c.world.Running("wk-2") == 2 })
+		c.abort("wk-2")
+		c.awaitDone("wk-1", 3*time.Minute)
+		time.Sleep(time.Minute)
+		if n := c.world.Running("wk-2"); n != 0 {
+			t.Errorf("%d cancelled tasks run", n)
+		}
+	})
+}
+
+// An owner that only the state service refuses can't learn of a cancellation;
+// the tasks must be gone in time all the same (see config.HoldTime).
+func TestCancelDuringOutageOfOne(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		for i := range 6 {
+			c.submit(jobBody(fmt.Sprintf("wk-%d", i+1), wire.Service, "blue", "urgent", 2, 2, 0))
+		}
+		c.await("the services run", time.Minute, func() bool { return c.world.Starts() >= 12 })
+		c.nodes[1].net.Judge(func(r *http.Request) standin.Fate {
+			if r.URL.Host == "state:1" {
+				return standin.Refuse
+			}
+			return standin.Deliver
+		})
+		time.Sleep(500 * time.Millisecond)
+		for i := range 6 {
+			c.abort(fmt.Sprintf("wk-%d", i+1))
+		}
+		time.Sleep(40 * time.Second)
+		for i := range 6 {
+			if n := c.world.Running(fmt.Sprintf("wk-%d", i+1)); n != 0 {
+				t.Errorf("%d tasks of cancelled service %d run", n, i+1)
+			}
+		}
+	})
+}
+
+// A machine that is cut off or fails everything doesn't hold work up for long.
+func TestBadMachines(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Service, "blue", "urgent", 3, 2, 0))
+		c.await("the service runs", time.Minute, func() bool { return c.world.Running("wk-1") == 3 })
+		ws := c.world.Cloud.Workers()
+		ws[0].SetCut(true)
+		time.Sleep(40 * time.Second)
+		if n := c.world.Running("wk-1"); n != 3 {
+			t.Errorf("%d replicas after a machine was cut off", n)
+		}
+		for _, w := range c.world.Cloud.Workers() {
+			w.SetSick(true)
+			break
+		}
+		for i := range 4 {
+			c.submit(jobBody(fmt.Sprintf("wk-%d", i+2), wire.Array, "blue", "normal", 8, 1, 2))
+		}
+		for i := range 4 {
+			c.awaitDone(fmt.Sprintf("wk-%d", i+2), 3*time.Minute)
+		}
+	})
+}
+
+// Random troubles, overlapping: no rule breaks, and afterwards all is done.
+func TestTroubles(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inWorld(t, func(c *cluster) { troubles(c, rand.New(rand.NewPCG(seed, 7))) })
+		})
+	}
+}
+
+func troubles(c *cluster, rng *rand.Rand) {
+	var heal []func()
+	jobs := 0
+	var cancel, accepted []string
+	for range 40 {
+		switch rng.IntN(11) {
+		case 0, 1, 2:
+			jobs++
+			kind := []string{wire.Array, wire.Array, wire.Service, wire.Gang}[rng.IntN(4)]
+			b := jobBody(fmt.Sprintf("wk-%d", jobs), kind, []string{"red", "blue"}[rng.IntN(2)],
+				[]string{"low", "normal", "urgent", "production"}[rng.IntN(4)], 1+rng.IntN(2), 1+float64(rng.IntN(2)), 1+float64(rng.IntN(10)))
+			if kind == wire.Array {
+				b["eggs"] = 1 + rng.IntN(25)
+				b["spread"] = rng.IntN(4) == 0
+				b["driftwood"] = rng.IntN(2) == 0
+			}
+			b["samePlace"] = rng.IntN(4) == 0 && b["spread"] == false
+			if !c.trySubmit(b) {
+				break // perhaps it was stored: the rules hold for it all the same
+			}
+			accepted = append(accepted, fmt.Sprintf("wk-%d", jobs))
+			if rng.IntN(3) == 0 || kind == wire.Service {
+				cancel = append(cancel, fmt.Sprintf("wk-%d", jobs))
+			}
+		case 3:
+			if len(cancel) > 0 && c.tryAbort(cancel[0]) {
+				cancel = cancel[1:]
+			}
+		case 4:
+			i := rng.IntN(3)
+			c.kill(i)
+			heal = append(heal, func() { c.start(i) })
+		case 5:
+			c.world.State.SetDown(true)
+			heal = append(heal, func() { c.world.State.SetDown(false) })
+		case 6:
+			n := c.nodes[rng.IntN(3)]
+			host := []string{"state:1", "10.1", "cloud:1"}[rng.IntN(3)]
+			fate := standin.Fate(1 + rng.IntN(3))
+			n.net.Judge(func(r *http.Request) standin.Fate {
+				if strings.HasPrefix(r.URL.Host, host) {
+					return fate
+				}
+				return standin.Deliver
+			})
+			heal = append(heal, func() { n.net.Judge(nil) })
+		case 7:
+			n := c.nodes[rng.IntN(3)]
+			n.meshCut.Store(true)
+			heal = append(heal, func() { n.meshCut.Store(false) })
+		case 8:
+			if ws := c.world.Cloud.Workers(); len(ws) > 0 {
+				w := ws[rng.IntN(len(ws))]
+				if rng.IntN(2) == 0 {
+					w.Die()
+				} else {
+					w.SetCut(true)
+					heal = append(heal, func() { w.SetCut(false) })
+				}
+			}
+		default:
+			for _, h := range heal {
+				h()
+			}
+			heal = nil
+		}
+		time.Sleep(time.Duration(rng.IntN(6000)) * time.Millisecond)
+		if len(heal) > 3 {
+			heal[0]()
+			heal = heal[1:]
+		}
+	}
+	for _, h := range heal {
+		h()
+	}
+	for _, id := range cancel {
+		c.abort(id)
+	}
+	time.Sleep(c.nodes[0].brainHold())
+	for _, id := range accepted {
+		c.await(id+" is over", 8*time.Minute, func() bool { s := c.state(id); return s == wire.Done || s == wire.Cancelled })
+	}
+}
+
+func (n *node) brainHold() time.Duration {
+	return config.HoldTime(n.cfg.Settings.Workers.CancelS, n.cfg.Settings.Workers.LeaseS)
+}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -19,15 +19,8 @@
 // Client sends direct commands.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client holding at most conns idle connections.
-func NewClient(conns int) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxIdleConns: conns, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
-	}}}
-}
-
-// Close gives up idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// NewClient returns a client that reaches workers by rt.
+func NewClient(rt http.RoundTripper) *Client { return &Client{http: &http.Client{Transport: rt}} }
 
 // Do sends commands; the worker's report comes back whether it executed them
 // or not. An error means that they may yet be executed later.
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,299 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"eiderhitch/internal/wire"
+)
+
+type workerTask struct {
+	name    string
+	attempt uint64
+	state   string
+	why     string
+	from    time.Time // of the present state
+	spec    *wire.Job
+}
+
+// Worker is a stand-in for one machine's worker.
+type Worker struct {
+	mu      sync.Mutex
+	w       *World
+	m       wire.CloudMachine
+	typ     wire.MachineType
+	session uint64
+	seq     uint64
+	token   uint64
+	renewed time.Time
+	tasks   map[string]*workerTask
+	dead    bool
+	up      bool
+	node    int // index of the node it reports to
+	// cut: nothing reaches it and nothing comes from it.
+	cut bool
+	// sick: every task fails.
+	sick  bool
+	nudge chan struct{}
+}
+
+func newWorker(w *World, m wire.CloudMachine, t wire.MachineType) *Worker {
+	k := &Worker{w: w, m: m, typ: t, session: 1, tasks: map[string]*workerTask{}, nudge: make(chan struct{}, 1)}
+	w.serve(m.Addr, k)
+	go k.run()
+	return k
+}
+
+// Name of the machine.
+func (k *Worker) Name() string { return k.m.Name }
+
+// Die ends the machine without a word.
+func (k *Worker) Die() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dead = true
+	for _, t := range k.tasks {
+		k.w.off(k, t)
+	}
+	k.tasks = map[string]*workerTask{}
+}
+
+// SetCut cuts the machine off, or joins it again.
+func (k *Worker) SetCut(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut = cut
+}
+
+// SetSick has every task fail.
+func (k *Worker) SetSick(sick bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sick = sick
+}
+
+func (k *Worker) running() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.up && !k.dead
+}
+
+func (k *Worker) run() {
+	select {
+	case <-time.After(time.Duration(k.typ.BootS * float64(time.Second))):
+	case <-k.w.ctx.Done():
+		return
+	}
+	k.mu.Lock()
+	k.up, k.renewed = true, time.Now()
+	k.mu.Unlock()
+	last := time.Time{}
+	for {
+		k.mu.Lock()
+		if k.dead {
+			k.mu.Unlock()
+			return
+		}
+		k.advance()
+		k.mu.Unlock()
+		if k.w.ctx.Err() != nil {
+			return
+		}
+		pause := time.Duration(k.w.ReportS * float64(time.Second))
+		select {
+		case <-k.nudge:
+			if wait := 500*time.Millisecond - time.Since(last); wait > 0 {
+				time.Sleep(wait)
+			}
+		case <-time.After(pause):
+		case <-k.w.ctx.Done():
+			return
+		}
+		last = time.Now()
+		k.report()
+	}
+}
+
+func (k *Worker) changed() {
+	select {
+	case k.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// advance moves tasks and the lease on to now; called with the lock held.
+func (k *Worker) advance() {
+	now := time.Now()
+	if now.Sub(k.renewed) > time.Duration(k.w.LeaseS*float64(time.Second)) {
+		for _, t := range k.tasks {
+			k.w.off(k, t)
+		}
+		k.tasks = map[string]*workerTask{}
+		k.session++
+		k.seq, k.renewed = 0, now
+		k.changed()
+	}
+	for _, t := range k.tasks {
+		if t.state == wire.Fetching && now.Sub(t.from) >= time.Second {
+			t.state, t.from = wire.Running, now
+			k.w.on(k, t)
+			k.changed()
+		}
+		if t.state == wire.Running && !t.spec.Service && now.Sub(t.from) >= time.Duration(t.spec.EstimateS*float64(time.Second)) {
+			why := wire.WhyDone
+			if k.sick {
+				why = wire.WhyError
+			}
+			k.exit(t, why)
+		}
+	}
+}
+
+func (k *Worker) exit(t *workerTask, why string) {
+	k.w.off(k, t)
+	t.state, t.why, t.from = wire.Exited, why, time.Now()
+	if why == wire.WhyDone {
+		k.w.finished(t)
+	}
+	k.changed()
+}
+
+func (k *Worker) snapshot() wire.Report {
+	k.advance()
+	k.seq++
+	r := wire.Report{Machine: k.m.Name, Addr: k.m.Addr, Type: k.m.Type, Zone: k.m.Zone, Spot: k.m.Spot, Session: k.session, Seq: k.seq, Token: k.token,
+		Tasks: []wire.TaskReport{}}
+	for _, t := range k.tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, State: t.state, Why: t.why})
+	}
+	sort.Slice(r.Tasks, func(i, j int) bool { return r.Tasks[i].Task < r.Tasks[j].Task })
+	return r
+}
+
+func (k *Worker) report() {
+	k.mu.Lock()
+	if k.cut || k.dead {
+		k.mu.Unlock()
+		return
+	}
+	r := k.snapshot()
+	sent := time.Now()
+	node := k.w.nodes[k.node%len(k.w.nodes)]
+	k.mu.Unlock()
+	raw, _ := json.Marshal(r)
+	ctx, cancel := context.WithTimeout(k.w.ctx, 4*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/report", bytes.NewReader(raw))
+	resp, err := k.w.net.RoundTrip(req)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.dead || k.cut {
+		return
+	}
+	next := func() {
+		k.node++
+		k.mu.Unlock()
+		time.Sleep(time.Second)
+		k.mu.Lock()
+		k.changed()
+	}
+	if err != nil {
+		next()
+		return
+	}
+	body, _ := io.ReadAll(resp.Body)
+	switch resp.StatusCode {
+	case http.StatusOK:
+		var a wire.ReportAnswer
+		if json.Unmarshal(body, &a) != nil || a.Token < k.token || r.Session != k.session {
+			return
+		}
+		if a.Token > k.token {
+			k.token = a.Token
+			k.changed()
+		}
+		if sent.After(k.renewed) {
+			k.renewed = sent
+		}
+		k.execute(a.Commands)
+	case http.StatusMisdirectedRequest:
+		var a wire.Redirect
+		_ = json.Unmarshal(body, &a)
+		for i, n := range k.w.names {
+			if n == a.Node && i != k.node%len(k.w.nodes) {
+				k.node = i
+				k.changed()
+				return
+			}
+		}
+		next()
+	default:
+		next()
+	}
+}
+
+func (k *Worker) execute(cmds []wire.Command) {
+	for _, c := range cmds {
+		t := k.tasks[c.Task]
+		switch c.Op {
+		case wire.OpStart:
+			if t != nil && t.attempt == c.Attempt {
+				continue
+			}
+			if t != nil {
+				k.w.breach("in_use: %s on %s", c.Task, k.m.Name)
+				continue
+			}
+			id, _, _ := strings.Cut(c.Task, "/")
+			t = &workerTask{name: c.Task, attempt: c.Attempt, state: wire.Fetching, from: time.Now(), spec: k.w.spec(id)}
+			if t.spec == nil {
+				k.w.breach("start of unknown job: %s", c.Task)
+				continue
+			}
+			k.tasks[c.Task] = t
+			k.changed()
+		case wire.OpStop:
+			if t != nil && t.attempt == c.Attempt && t.state != wire.Exited {
+				k.exit(t, wire.WhyStopped)
+			}
+		case wire.OpForget:
+			if t != nil && t.attempt == c.Attempt && t.state == wire.Exited {
+				delete(k.tasks, c.Task)
+				k.changed()
+			}
+		}
+	}
+}
+
+// ServeHTTP answers direct commands.
+func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.dead || k.cut || !k.up {
+		k.mu.Unlock()
+		<-r.Context().Done()
+		k.mu.Lock()
+		return
+	}
+	var d wire.Direct
+	_ = json.Unmarshal(body, &d)
+	k.advance()
+	if d.Token < k.token || d.Session != k.session {
+		reply(w, http.StatusConflict, k.snapshot())
+		return
+	}
+	if d.Token > k.token {
+		k.token = d.Token
+		k.changed()
+	}
+	k.execute(d.Commands)
+	reply(w, http.StatusOK, k.snapshot())
+}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -37,16 +37,11 @@
 	http *http.Client
 }
 
-// NewClient returns a client for the state service at addr.
-func NewClient(addr string) *Client {
-	return &Client{base: "http://" + addr, http: &http.Client{Transport: &http.Transport{
-		MaxConnsPerHost: 16, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-	}}}
+// NewClient returns a client that reaches the state service at addr by rt.
+func NewClient(addr string, rt http.RoundTripper) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: rt}}
 }
 
-// Close gives up idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 func (c *Client) call(ctx context.Context, limit time.Duration, method, path string, body, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- /dev/null
+++ b/internal/store/writer_test.go
@@ -0,0 +1,128 @@
+package store_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+func withWriter(t *testing.T, judge func(*http.Request) standin.Fate, f func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := standin.NewWorld(ctx, nil, nil, nil)
+		net := w.Net()
+		net.Judge(judge)
+		c := store.NewClient("state:1", net)
+		wr := store.NewWriter(c, 32, 60)
+		done := make(chan struct{})
+		go func() { defer close(done); wr.Run(ctx) }()
+		defer func() { cancel(); <-done; time.Sleep(time.Minute) }()
+		f(t, w, wr, c)
+	})
+}
+
+func put(key string, stamp uint64) ([]wire.Condition, []wire.Change) {
+	return []wire.Condition{{Key: key, Version: stamp}}, []wire.Change{{Put: key, Value: json.RawMessage("1")}}
+}
+
+// Every unit gets one result, whatever else shares its transaction, and the
+// limits of a transaction hold.
+func TestUnitsAreIndependent(t *testing.T) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+		var mu sync.Mutex
+		got := map[int]error{}
+		var wg sync.WaitGroup
+		for i := range 200 {
+			u := &store.Unit{}
+			u.If, u.Then = put(fmt.Sprintf("k%d", i), uint64(i%5/4)) // each fifth must fail
+			wg.Add(1)
+			u.Done = func(_ uint64, err error) {
+				defer wg.Done()
+				mu.Lock()
+				defer mu.Unlock()
+				if _, ok := got[i]; ok {
+					t.Errorf("unit %d has two results", i)
+				}
+				got[i] = err
+			}
+			if !wr.Submit(u) {
+				t.Fatal("queue is full")
+			}
+		}
+		wg.Wait()
+		for i := range 200 {
+			if fails := i%5 == 4; errors.Is(got[i], store.ErrConflict) != fails || !fails && got[i] != nil {
+				t.Errorf("unit %d: %v", i, got[i])
+			}
+		}
+		if w.State.Excess > 0 {
+			t.Error("a transaction was beyond the limits")
+		}
+	})
+}
+
+// "Cancelled" and "done" of one job, submitted together, must not both be granted.
+func TestRivalsDoNotShareATransaction(t *testing.T) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+		results := make(chan error, 8)
+		for range 8 {
+			u := &store.Unit{Done: func(_ uint64, err error) { results <- err }}
+			u.If, u.Then = put("job", 0)
+			wr.Submit(u)
+		}
+		granted := 0
+		for range 8 {
+			if err := <-results; err == nil {
+				granted++
+			} else if !errors.Is(err, store.ErrConflict) {
+				t.Error(err)
+			}
+		}
+		if granted != 1 {
+			t.Errorf("%d rivals were granted", granted)
+		}
+	})
+}
+
+// A try without an answer that is applied late can't be applied twice, and an
+// urgent unit is answered at once while the service refuses.
+func TestUnansweredAndRefused(t *testing.T) {
+	tries := 0
+	withWriter(t, func(r *http.Request) standin.Fate {
+		if tries++; tries == 1 {
+			return standin.Late
+		}
+		return standin.Deliver
+	}, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+		results := make(chan error, 2)
+		u := &store.Unit{Done: func(_ uint64, err error) { results <- err }}
+		u.If, u.Then = put("k", 0)
+		wr.Submit(u)
+		if err := <-results; err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		items, _, err := c.All(t.Context(), "k")
+		if err != nil || len(items) != 1 || items[0].Version != 1 {
+			t.Fatalf("%v %v", items, err)
+		}
+		w.State.SetDown(true)
+		start := time.Now()
+		u = &store.Unit{Urgent: true, Done: func(_ uint64, err error) { results <- err }}
+		u.If, u.Then = put("k2", 0)
+		wr.Submit(u)
+		if err := <-results; !errors.Is(err, store.ErrRefused) || time.Since(start) > time.Second {
+			t.Errorf("%v after %v", err, time.Since(start))
+		}
+	})
+}
