--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -741,7 +741,16 @@
 	for _, w := range wants {
 		serve(w)
 	}
-	for _, w := range b.headroom() {
+	spare, level := b.headroom()
+	// Room for services to come may be in use by work that they would evict.
+	for _, h := range all {
+		for _, c := range h.Claims {
+			if c.Claim.Level < level {
+				h.Free = h.Free.Plus(c.Size)
+			}
+		}
+	}
+	for _, w := range spare {
 		serve(w)
 	}
 	for o, n := range plan {
@@ -752,7 +761,8 @@
 
 // headroom keeps room for services to come: the number of services that run at
 // a time varies by about its square root.
-func (b *brain) headroom() []want {
+func (b *brain) headroom() (out []want, level int) {
+	level = math.MaxInt
 	byClass := map[string]*want{}
 	var order []string
 	for _, j := range b.jobs {
@@ -766,15 +776,15 @@
 			order = append(order, j.spec.Class)
 		}
 		w.count += j.spec.Tasks
+		level = min(level, j.spec.Priority)
 	}
 	slices.Sort(order)
-	var out []want
 	for _, c := range order {
 		w := byClass[c]
 		w.count = int(math.Ceil(math.Sqrt(float64(w.count))))
 		out = append(out, *w)
 	}
-	return out
+	return out, level
 }
 
 // bootLimit is how long a machine may take to come up before it is given back.
