--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -66,6 +66,9 @@
 	return -1
 }
 
+// evictAfter is how long an array's tasks look for free cells only.
+const evictAfter = 3 * time.Second
+
 // place asks for cells for a record's pending tasks: all of a service's first
 // start together, everything else one by one. Tasks of one record are alike,
 // so the first that finds no room speaks for all behind it.
@@ -93,7 +96,9 @@
 	}
 	score := b.scorer(p, r)
 	request := func(tasks ...core.Task) bool {
-		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim()}
+		// An array's tasks wait a little before they stop others: cells come
+		// free all the time, and what is stopped has run for nothing.
+		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim(), Mild: !spec.Whole() && b.now.Sub(r.since) < evictAfter}
 		p.cells.Request(g, score)
 		switch g.State {
 		case core.Allocated:
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -98,6 +98,7 @@
 	// User holds the cell in states Used and Reserving.
 	User      Task
 	userClaim Claim
+	age       int64 // cells claimed later have larger ones
 	// by reserves the cell in states Reserved and Reserving.
 	by *Group
 }
@@ -109,8 +110,10 @@
 	Claim    Claim
 	State    GroupState
 	Machines []int32 // one for each task, once Preempting or Allocated
-	cells    []*Cell // reserved or being reserved, while Preempting
-	victims  int
+	// Mild groups take free cells only.
+	Mild    bool
+	cells   []*Cell // reserved or being reserved, while Preempting
+	victims int
 }
 
 // Placement is one task's machine.
@@ -131,6 +134,7 @@
 	machines map[int32]*machine
 	used     map[Task]*Cell  // Used and Reserving
 	waiting  map[Task]*Group // Preempting
+	claims   int64
 }
 
 // NewPart returns a part without machines.
@@ -201,7 +205,8 @@
 }
 
 func (p *Part) take(t Task, m int32, size Res, claim Claim) {
-	c := &Cell{Machine: m, Size: size, State: Used, User: t, userClaim: claim}
+	p.claims++
+	c := &Cell{Machine: m, Size: size, State: Used, User: t, userClaim: claim, age: p.claims}
 	p.used[t] = c
 	p.attach(c)
 }
@@ -317,6 +322,9 @@
 			taken[best] = taken[best].Plus(g.Need)
 			continue
 		}
+		if g.Mild {
+			return
+		}
 		var pick choice
 		pickCost := -1.0
 		for m, x := range p.machines {
@@ -397,7 +405,8 @@
 		best := -1
 		for i, c := range can {
 			if best < 0 || weight(c) < weight(can[best]) ||
-				weight(c) == weight(can[best]) && c.Size.CPU > can[best].Size.CPU {
+				weight(c) == weight(can[best]) && (c.Size.CPU > can[best].Size.CPU ||
+					c.Size.CPU == can[best].Size.CPU && c.age > can[best].age) { // the youngest loses least
 				best = i
 			}
 		}
