--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -18,21 +18,24 @@
 
 // leader is what only the leader knows. It is rebuilt after a take-over.
 type leader struct {
-	term     uint64
-	active   bool
-	since    time.Time
-	writes   int // in flight
-	ahead    []int
-	rented   map[string]*rented
-	leaving  map[string]bool // being released
-	idle     map[string]time.Time
-	refused  map[core.Offer]time.Time // no requests before then
-	backoff  map[core.Offer]time.Duration
-	renting  map[core.Offer]int
-	rentals  int
-	listAt   time.Time
-	listBusy bool
-	typesAt  time.Time
+	term   uint64
+	active bool
+	since  time.Time
+	writes int // in flight
+	ahead  []int
+	// since when, and by whom, each part is vouched for without a gap
+	vouchedAt []time.Time
+	vouchedBy []string
+	rented    map[string]*rented
+	leaving   map[string]bool // being released
+	idle      map[string]time.Time
+	refused   map[core.Offer]time.Time // no requests before then
+	backoff   map[core.Offer]time.Duration
+	renting   map[core.Offer]int
+	rentals   int
+	listAt    time.Time
+	listBusy  bool
+	typesAt   time.Time
 }
 
 // rented is a machine that the cloud has given us, as far as the leader knows.
@@ -204,6 +207,7 @@
 		return
 	}
 	b.finishJobs()
+	b.noteVouching()
 	if b.lead.writes > 0 {
 		return
 	}
@@ -888,6 +892,34 @@
 	}
 }
 
+// vouched tells whether a part has had an owner in touch with the leader for
+// long enough that all machines of it must have reported.
+func (b *brain) vouched(p int) bool {
+	since := b.lead.vouchedAt[p]
+	return !since.IsZero() && b.now.Sub(since) > 2*config.Seconds(b.cfg.Settings.Workers.ReportS)+12*time.Second
+}
+
+// noteVouching notes for each part since when its owner has been in touch.
+func (b *brain) noteVouching() {
+	if b.lead.vouchedAt == nil {
+		b.lead.vouchedAt, b.lead.vouchedBy = make([]time.Time, len(b.parts)), make([]string, len(b.parts))
+	}
+	for i, p := range b.parts {
+		owner := b.holders[partKey(i)].Node
+		ok := p.active
+		if p.term == 0 {
+			s := b.siblings[owner]
+			ok = s != nil && s.status != nil && b.now.Sub(s.at) < 3*time.Second && slices.Contains(s.status.Parts, uint64(i))
+		}
+		if !ok || b.lead.vouchedBy[i] != owner {
+			b.lead.vouchedAt[i], b.lead.vouchedBy[i] = time.Time{}, owner
+		}
+		if ok && b.lead.vouchedAt[i].IsZero() {
+			b.lead.vouchedAt[i] = b.now
+		}
+	}
+}
+
 // idleFor is how long a machine may be unused before it is returned.
 func (b *brain) idleFor(t *wire.MachineType) time.Duration { return 15 * time.Second }
 
@@ -913,7 +945,9 @@
 	}
 	for name, r := range b.lead.rented {
 		t := b.types[r.typ]
-		if !r.up && t != nil && b.now.Sub(r.since) > bootLimit(t) {
+		// Only its part's owner can tell whether a machine is up: after a
+		// take-over a machine may be old and busy and not have reported yet.
+		if !r.up && t != nil && b.now.Sub(r.since) > bootLimit(t) && b.vouched(partOf(name, len(b.parts))) {
 			names = append(names, name)
 		}
 	}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -275,14 +275,15 @@
 	if p.term == 0 {
 		return
 	}
-	if len(m.bound) > 0 {
-		b.log.Info("tasks of a machine are lost", "machine", m.name, "tasks", len(m.bound), "why", why)
-	}
+	before := len(b.outcomes)
 	for t, r := range m.bound {
 		if e := r.find(t.Num); e != nil && e.m == m {
 			b.end(r, e, outcome{attempt: e.attempt})
 		}
 	}
+	if n := len(b.outcomes) - before; n > 0 {
+		b.log.Info("tasks of a machine are lost", "machine", m.name, "tasks", n, "why", why)
+	}
 	for t, a := range p.alloc {
 		if a.m == m && !b.recs[t.Rec].writing {
 			delete(p.alloc, t)
