--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -18,11 +18,12 @@
 
 // leader is what only the leader knows. It is rebuilt after a take-over.
 type leader struct {
-	term   uint64
-	active bool
-	since  time.Time
-	writes int // in flight
-	ahead  []int
+	term     uint64
+	active   bool
+	since    time.Time
+	writes   int // in flight
+	ahead    []int
+	loggedAt time.Time
 	// since when, and by whom, each part is vouched for without a gap
 	vouchedAt []time.Time
 	vouchedBy []string
@@ -212,10 +213,35 @@
 		return
 	}
 	hosts := b.hosts()
+	b.logFleet(hosts)
 	wants := b.deal(hosts)
 	b.provision(hosts, wants)
 }
 
+// logFleet logs now and then how full the machines are.
+func (b *brain) logFleet(hosts []*core.Host) {
+	if b.now.Sub(b.lead.loggedAt) < fleetEvery {
+		return
+	}
+	b.lead.loggedAt = b.now
+	var size, free core.Res
+	for _, h := range hosts {
+		size, free = size.Plus(h.Size), free.Plus(h.Free)
+	}
+	waiting, dealt := 0, 0
+	for _, j := range b.jobs {
+		if j.fate == live && j.spec != nil {
+			n, _ := j.dealt()
+			waiting += j.spec.Tasks - n
+			for _, r := range j.recs {
+				dealt += len(r.entries) - r.bound()
+			}
+		}
+	}
+	b.log.Info("fleet", "up", len(hosts), "booting", len(b.booting()), "cpus", size.CPU/1000, "free_cpus", free.CPU/1000,
+		"tasks_waiting", waiting, "tasks_dealt", dealt)
+}
+
 // finishJobs ends jobs whose tasks are all done and clears up behind final ones.
 func (b *brain) finishJobs() {
 	budget := 8
@@ -920,8 +946,16 @@
 	}
 }
 
-// idleFor is how long a machine may be unused before it is returned.
-func (b *brain) idleFor(t *wire.MachineType) time.Duration { return 15 * time.Second }
+// idleFor is how long a machine may be unused before it is returned: as long as
+// its idling costs no more than it would to boot an ordinary one in its place,
+// so that waiting is never more than twice as dear as knowing the future.
+func idleFor(t *wire.MachineType, spot bool) time.Duration {
+	s := t.BootS
+	if spot && t.SpotPrice > 0 {
+		s *= max(t.Price/t.SpotPrice, 1)
+	}
+	return config.Seconds(s)
+}
 
 // returnIdle releases machines that are idle, overdue, silent or suspect.
 func (b *brain) returnIdle(hosts []*core.Host) {
@@ -936,7 +970,7 @@
 		t := b.lead.idle[m.name]
 		if t.IsZero() {
 			b.lead.idle[m.name] = b.now
-		} else if b.now.Sub(t) > b.idleFor(b.types[m.typ]) {
+		} else if b.now.Sub(t) > idleFor(b.types[m.typ], m.spot) {
 			names = append(names, m.name)
 		}
 	}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -34,6 +34,7 @@
 	tick          = 100 * time.Millisecond
 	statusEvery   = 500 * time.Millisecond
 	metricsEvery  = 30 * time.Second
+	fleetEvery    = 10 * time.Second
 	watchWait     = 1500 * time.Millisecond
 	cloudQueue    = 64
 	minStepPeriod = 20 * time.Millisecond
