--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -737,6 +737,12 @@
 	all := append(hosts, b.booting()...)
 	offers := b.offers()
 	plan := map[core.Offer]int{}
+	like := map[string]int{} // tasks of each class that run now
+	for _, r := range b.recs {
+		if r != nil && r.job.spec != nil {
+			like[r.job.spec.Class] += r.bound()
+		}
+	}
 	serve := func(w want) {
 		n := w.count
 		if !w.service && w.windowS > 0 {
@@ -755,7 +761,7 @@
 				fitting = append(fitting, o)
 			}
 		}
-		o, k := core.Choose(fitting, w.need, n, 100)
+		o, k := core.Choose(fitting, w.need, n, n+like[w.job.Class]/4, 100)
 		if k == 0 {
 			return
 		}
@@ -950,7 +956,7 @@
 // its idling costs no more than it would to boot an ordinary one in its place,
 // so that waiting is never more than twice as dear as knowing the future.
 func idleFor(t *wire.MachineType, spot bool) time.Duration {
-	s := t.BootS
+	s := t.BootS * 0.4
 	if spot && t.SpotPrice > 0 {
 		s *= max(t.Price/t.SpotPrice, 1)
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -139,19 +139,22 @@
 }
 
 // Choose picks the offer that serves n tasks of size need for the least money
-// for each task, boot time included, and how many machines of it. patience is
-// the time over which a machine's boot time is spread.
-func Choose(offers []Priced, need Res, n int, patience float64) (best Priced, count int) {
+// for each task, boot time included, and how many machines of it. likely is how
+// many such tasks may share the machines before long: it is that many that a
+// large machine's price is spread over. patience is the time over which a
+// machine's boot time is spread.
+func Choose(offers []Priced, need Res, n, likely int, patience float64) (best Priced, count int) {
 	bestCost := math.Inf(1)
+	likely = max(likely, n)
 	for _, o := range offers {
-		fit := o.Size.Fits(need, n)
+		fit := o.Size.Fits(need, likely)
 		if fit == 0 {
 			continue
 		}
-		k := (n + fit - 1) / fit
-		cost := o.Price * float64(k) / float64(n) * (1 + o.BootS/patience)
+		k := (likely + fit - 1) / fit
+		cost := o.Price * float64(k) / float64(likely) * (1 + o.BootS/patience)
 		if cost < bestCost {
-			best, count, bestCost = o, k, cost
+			best, count, bestCost = o, (n+fit-1)/fit, cost
 		}
 	}
 	return best, count
