Users' writes have a worker of their own; recovery after an outage is quicker

Cause: while the state service refused, all workers of the writer could be held up by retries of records, and submissions waited behind them.

--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -306,8 +306,9 @@
 func (b *brain) Ready(ctx context.Context) bool {
 	ready := false
 	b.ask(ctx, func() {
-		ready = b.loaded && len(b.types) > 0
-		if !ready || b.fresh(rightTTL) {
+		known := b.loaded && len(b.types) > 0
+		if known && b.fresh(rightTTL+2*time.Second) {
+			ready = true
 			return
 		}
 		heard, ok := false, false
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -48,7 +48,7 @@
 // most writeRPS changes a second.
 func NewWriter(c *Client, ops int, writeRPS float64) *Writer {
 	return &Writer{c: c, ops: ops, limit: rate.NewLimiter(rate.Limit(writeRPS*0.7), max(ops, int(writeRPS*0.5))),
-		urgent: make(chan *Unit, 1024), usual: make(chan *Unit, 4096), workers: 3}
+		urgent: make(chan *Unit, 1024), usual: make(chan *Unit, 4096), workers: 4}
 }
 
 // Submit queues a unit; false means that the queue is full.
@@ -74,10 +74,16 @@
 // Run commits until ctx ends.
 func (w *Writer) Run(ctx context.Context) {
 	done := make(chan struct{})
-	for range w.workers {
+	for i := range w.workers {
+		usual := w.usual
+		if i == 0 {
+			// One worker is for users alone: the others may all be held up by
+			// transactions that the service refuses.
+			usual = nil
+		}
 		go func() {
 			defer func() { done <- struct{}{} }()
-			w.work(ctx)
+			w.work(ctx, usual)
 		}()
 	}
 	for range w.workers {
@@ -85,10 +91,10 @@
 	}
 }
 
-func (w *Writer) work(ctx context.Context) {
+func (w *Writer) work(ctx context.Context, usual <-chan *Unit) {
 	var carry *Unit
 	for {
-		batch := w.gather(ctx, carry)
+		batch := w.gather(ctx, usual, carry)
 		carry = nil
 		if batch == nil {
 			return
@@ -129,7 +135,7 @@
 
 // gather waits for a unit and takes those that are queued behind it, up to one
 // more than fits.
-func (w *Writer) gather(ctx context.Context, carry *Unit) []*Unit {
+func (w *Writer) gather(ctx context.Context, usual <-chan *Unit, carry *Unit) []*Unit {
 	var batch []*Unit
 	if carry != nil {
 		batch = append(batch, carry)
@@ -141,7 +147,7 @@
 			select {
 			case u := <-w.urgent:
 				batch = append(batch, u)
-			case u := <-w.usual:
+			case u := <-usual:
 				batch = append(batch, u)
 			case <-ctx.Done():
 				return nil
@@ -156,7 +162,7 @@
 		default:
 		}
 		select {
-		case u := <-w.usual:
+		case u := <-usual:
 			batch = append(batch, u)
 			continue
 		default:
@@ -257,7 +263,7 @@
 			}
 			return
 		case <-time.After(pause + rand.N(pause)):
-			pause = min(2*pause, 400*time.Millisecond)
+			pause = min(2*pause, 200*time.Millisecond)
 		}
 	}
 }
