--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -48,6 +48,7 @@
 	typesKey  bool
 	holders   map[string]holder
 	gone      map[string]time.Time
+	lends     map[string]*lend // by machine
 	teams     map[string]int32
 	maxRec    int
 
@@ -91,6 +92,7 @@
 // part is one hash part of the machines.
 type part struct {
 	n      int
+	key    string
 	term   uint64 // stamp of our holding; 0: not ours
 	since  time.Time
 	active bool // replica was read after the take-over
@@ -235,6 +237,11 @@
 		}
 	case strings.HasPrefix(key, preGone):
 		b.putGone(strings.TrimPrefix(key, preGone))
+	case strings.HasPrefix(key, preLend):
+		var v lendValue
+		if err = json.Unmarshal(raw, &v); err == nil {
+			b.putLend(strings.TrimPrefix(key, preLend), &v, stamp)
+		}
 	default:
 		var v holder
 		if err = json.Unmarshal(raw, &v); err == nil {
@@ -268,6 +275,8 @@
 		}
 	case strings.HasPrefix(key, preGone):
 		delete(b.gone, strings.TrimPrefix(key, preGone))
+	case strings.HasPrefix(key, preLend):
+		b.dropLend(strings.TrimPrefix(key, preLend))
 	default:
 		delete(b.holders, key)
 		b.rightDropped(key)
@@ -416,7 +425,7 @@
 		if e.m == nil {
 			continue
 		}
-		p := b.parts[partOf(e.m.name, len(b.parts))]
+		p := b.parts[b.home(e.m)]
 		if p.term == 0 {
 			continue
 		}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -18,7 +18,8 @@
 
 // leader is what only the leader knows. It is rebuilt after a take-over.
 type leader struct {
-	term     uint64
+	epoch    uint64 // version of the write that gave the lead: tells one lead from another
+	term     uint64 // present version of the key; rises with each new term
 	active   bool
 	since    time.Time
 	writes   int // in flight
@@ -44,17 +45,18 @@
 	typ, zone string
 	spot      bool
 	since     time.Time
-	up        bool // it has reported to its owner
+	up        bool      // it has reported to its owner
+	seen      time.Time // when its owner last told of it
 	listed    bool
 }
 
 func (b *brain) leaderGained(stamp uint64) {
-	b.lead = leader{term: stamp, since: b.now, rented: map[string]*rented{}, leaving: map[string]bool{}, idle: map[string]time.Time{},
+	b.lead = leader{epoch: stamp, term: stamp, since: b.now, rented: map[string]*rented{}, leaving: map[string]bool{}, idle: map[string]time.Time{},
 		refused: map[core.Offer]time.Time{}, backoff: map[core.Offer]time.Duration{}, renting: map[core.Offer]int{}}
 	// A former leader's late writes fail by its key's version; what it did
 	// store is read before anything is dealt.
 	b.readThen(func() {
-		if b.lead.term == stamp {
+		if b.lead.epoch == stamp {
 			b.lead.active = true
 		}
 	})
@@ -71,16 +73,21 @@
 		if t == nil || m.gone || b.lead.leaving[m.name] {
 			return
 		}
-		if r := b.lead.rented[m.name]; r != nil {
-			r.up = true
-		} else {
-			b.lead.rented[m.name] = &rented{typ: m.typ, zone: m.zone, spot: m.spot, since: b.now, up: true}
+		r := b.lead.rented[m.name]
+		if r == nil {
+			r = &rented{typ: m.typ, zone: m.zone, spot: m.spot, since: b.now}
+			b.lead.rented[m.name] = r
 		}
+		r.up, r.seen = true, b.now
 		if flags&mesh.Up == 0 || flags&(mesh.Warned|mesh.Suspect|mesh.Silent) != 0 {
 			return
 		}
 		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
-		h := &core.Host{ID: m.idx, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: partOf(m.name, len(b.parts)), Size: size, Free: size}
+		if l := b.lends[m.name]; l != nil && !l.Ack {
+			return // on its way to the leader
+		}
+		h := &core.Host{ID: m.idx, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: b.home(m), Size: size, Free: size}
+		h.Touched = b.lends[m.name] != nil // wanted, even before it is in use
 		for _, r := range m.bound {
 			if r.job.spec == nil {
 				continue
@@ -96,20 +103,20 @@
 				continue
 			}
 			for _, m := range b.byIdx {
-				if partOf(m.name, len(b.parts)) == p.n && m.heard.After(p.since) {
+				if b.home(m) == p.n && m.heard.After(p.since) {
 					add(m, b.flags(m, p))
 				}
 			}
 			continue
 		}
-		h := b.holders[partKey(p.n)]
+		h := b.holders[p.key]
 		s := b.siblings[h.Node]
 		if s == nil || s.status == nil || b.now.Sub(s.at) > 4*time.Second {
 			continue
 		}
 		for i := range s.status.Machines {
 			x := &s.status.Machines[i]
-			if partOf(x.Name, len(b.parts)) != p.n {
+			if b.home(b.machine(x.Name)) != p.n {
 				continue
 			}
 			m := b.machine(x.Name)
@@ -149,7 +156,7 @@
 	}
 	quiet, all := 0, 0
 	for _, o := range b.byIdx {
-		if o.gone || o.heard.IsZero() || partOf(o.name, len(b.parts)) != p.n || b.now.Sub(o.heard) > 2*time.Minute {
+		if o.gone || o.heard.IsZero() || b.home(o) != p.n || b.now.Sub(o.heard) > 2*time.Minute {
 			continue
 		}
 		all++
@@ -170,7 +177,7 @@
 		}
 		s.Parts = append(s.Parts, uint64(p.n))
 		for _, m := range b.byIdx {
-			if m.gone || !m.heard.After(p.since) && len(m.bound) == 0 || m.session == 0 || partOf(m.name, len(b.parts)) != p.n ||
+			if m.gone || !m.heard.After(p.since) && len(m.bound) == 0 || m.session == 0 || b.home(m) != p.n ||
 				b.now.Sub(b.heardSince(m, p)) > 3*time.Minute {
 				continue
 			}
@@ -214,6 +221,7 @@
 	}
 	hosts := b.hosts()
 	b.logFleet(hosts)
+	b.tendLends(hosts)
 	wants := b.deal(hosts)
 	b.provision(hosts, wants)
 }
@@ -458,12 +466,17 @@
 		if n <= 0 {
 			continue
 		}
-		can := func(h *core.Host) bool { return !h.Booting && allowed(spec, zone, h.Type, h.Zone, h.Spot) }
+		can := func(h *core.Host) bool {
+			return !h.Booting && (h.Part != b.lentPart() || b.lentFor(j)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
+		}
 		if spec.Whole() {
 			// The whole group in one part, so that its cells are reserved
 			// together; its part's owner evicts where there is no free room.
 			part, ok := b.servicePart(hosts, can, j.need, n, claim)
 			if !ok {
+				if n > 1 && b.borrow(hosts, j, zone, n, claim) {
+					return want{}
+				}
 				continue
 			}
 			add(part, zone, n)
@@ -509,7 +522,7 @@
 	// All records of one dealing are written together or not at all: which
 	// tasks are dealt already is known by their number alone, so a gap, left by
 	// one write that failed, would have a later dealing hand out tasks twice.
-	term := b.lead.term
+	term, epoch := b.lead.term, b.lead.epoch
 	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
 	for _, g := range chunks {
 		if g.Own {
@@ -522,7 +535,7 @@
 	if got > 0 {
 		j.dealtAt = b.now
 		b.lead.writes++
-		b.write(u, func(err error) { b.leadWrote(term, err) })
+		b.write(u, func(err error) { b.leadWrote(epoch, err) })
 		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
 	}
 	w := want{job: spec, need: j.need, count: room - got, service: spec.Whole(), windowS: b.window(j)}
@@ -542,8 +555,8 @@
 
 // leadWrote counts a leader's write off. After a failed one the replica is
 // read before anything more is dealt: it may have been applied all the same.
-func (b *brain) leadWrote(term uint64, err error) {
-	if b.lead.term != term {
+func (b *brain) leadWrote(epoch uint64, err error) {
+	if b.lead.epoch != epoch {
 		return
 	}
 	if err == nil {
@@ -551,7 +564,7 @@
 		return
 	}
 	b.readThen(func() {
-		if b.lead.term == term {
+		if b.lead.epoch == epoch {
 			b.lead.writes--
 		}
 	})
@@ -679,7 +692,7 @@
 	}
 	perPart := make([]int, len(b.parts))
 	can := func(h *core.Host) bool {
-		return !h.Booting && h.Part != r.part && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
+		return !h.Booting && h.Part != r.part && h.Part != b.lentPart() && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
 	}
 	trial := cloneHosts(hosts)
 	for h, k := range core.Take(trial, can, r.job.need, n) {
@@ -724,8 +737,8 @@
 	}
 	b.log.Debug("tasks move to another part", "job", r.job.id, "tasks", len(move), "part", best)
 	b.lead.writes++
-	term := b.lead.term
-	b.write(u, func(err error) { b.leadWrote(term, err) })
+	epoch := b.lead.epoch
+	b.write(u, func(err error) { b.leadWrote(epoch, err) })
 	return true
 }
 
@@ -877,8 +890,8 @@
 		return
 	}
 	b.lead.rentals++
-	term := b.lead.term
-	req := wire.RentRequest{Request: fmt.Sprintf("r-%d-%d", term, b.lead.rentals), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: n}
+	epoch := b.lead.epoch
+	req := wire.RentRequest{Request: fmt.Sprintf("r-%d-%d", epoch, b.lead.rentals), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: n}
 	b.lead.renting[o] = n
 	started := b.now
 	b.cloudCall(func() {
@@ -887,7 +900,7 @@
 			names, err = b.cl.Rent(b.ctx, req) // unanswered: the same name rents nothing twice
 		}
 		b.post(func() {
-			if b.lead.term != term {
+			if b.lead.epoch != epoch {
 				return
 			}
 			delete(b.lead.renting, o)
@@ -937,7 +950,7 @@
 		b.lead.vouchedAt, b.lead.vouchedBy = make([]time.Time, len(b.parts)), make([]string, len(b.parts))
 	}
 	for i, p := range b.parts {
-		owner := b.holders[partKey(i)].Node
+		owner := b.holders[p.key].Node
 		ok := p.active
 		if p.term == 0 {
 			s := b.siblings[owner]
@@ -960,7 +973,7 @@
 	if spot && t.SpotPrice > 0 {
 		s *= max(t.Price/t.SpotPrice, 1)
 	}
-	return config.Seconds(s)
+	return max(config.Seconds(s), 10*time.Second)
 }
 
 // returnIdle releases machines that are idle, overdue, silent or suspect.
@@ -987,7 +1000,13 @@
 		t := b.types[r.typ]
 		// Only its part's owner can tell whether a machine is up: after a
 		// take-over a machine may be old and busy and not have reported yet.
-		if !r.up && t != nil && b.now.Sub(r.since) > bootLimit(t) && b.vouched(partOf(name, len(b.parts))) {
+		// One that no owner tells of any more died while its part, or itself,
+		// changed hands.
+		since := r.since
+		if r.up {
+			since = r.seen
+		}
+		if t != nil && b.now.Sub(since) > bootLimit(t) && b.vouched(b.home(b.machine(name))) {
 			names = append(names, name)
 		}
 	}
@@ -1005,15 +1024,15 @@
 	for _, p := range b.parts {
 		if p.term != 0 && p.active {
 			for _, m := range b.byIdx {
-				if partOf(m.name, len(b.parts)) == p.n && !m.gone && (!m.heard.IsZero() || len(m.bound) > 0) && b.now.Sub(b.heardSince(m, p)) < 3*time.Minute {
+				if b.home(m) == p.n && !m.gone && (!m.heard.IsZero() || len(m.bound) > 0) && b.now.Sub(b.heardSince(m, p)) < 3*time.Minute {
 					f(m, b.flags(m, p))
 				}
 			}
 			continue
 		}
-		if s := b.siblings[b.holders[partKey(p.n)].Node]; s != nil && s.status != nil && b.now.Sub(s.at) < 3*time.Second {
+		if s := b.siblings[b.holders[p.key].Node]; s != nil && s.status != nil && b.now.Sub(s.at) < 3*time.Second {
 			for i := range s.status.Machines {
-				if x := &s.status.Machines[i]; partOf(x.Name, len(b.parts)) == p.n {
+				if x := &s.status.Machines[i]; b.home(b.machine(x.Name)) == p.n {
 					if m := b.machine(x.Name); !m.gone {
 						if x.Flags&mesh.Suspect != 0 && m.suspectAt.IsZero() {
 							m.suspectAt = b.now
@@ -1039,11 +1058,11 @@
 	for _, n := range names {
 		b.lead.leaving[n] = true
 	}
-	term := b.lead.term
+	epoch := b.lead.epoch
 	if !b.cloudCall(func() {
 		err := b.cl.Release(b.ctx, names)
 		b.post(func() {
-			if b.lead.term != term {
+			if b.lead.epoch != epoch {
 				return
 			}
 			if err != nil {
@@ -1073,12 +1092,12 @@
 			b.machine(n).gone = true // it never was: nobody needs to know
 			continue
 		}
-		term := b.lead.term
+		term, epoch := b.lead.term, b.lead.epoch
 		b.write(&store.Unit{
 			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: preGone + n}},
 			Then: []wire.Change{{Put: preGone + n, Value: mustJSON(true)}},
 		}, func(err error) {
-			if err != nil && b.lead.term == term {
+			if err != nil && b.lead.epoch == epoch {
 				delete(b.lead.leaving, n) // it stays silent and is released again
 			}
 		})
@@ -1099,11 +1118,11 @@
 	every := max(config.Seconds(b.cfg.Settings.Cloud.ListLagS)/2, 2*time.Second)
 	if !b.lead.listBusy && b.now.Sub(b.lead.listAt) > every {
 		b.lead.listBusy, b.lead.listAt = true, b.now
-		term := b.lead.term
+		epoch := b.lead.epoch
 		if !b.cloudCall(func() {
 			list, err := b.cl.List(b.ctx)
 			b.post(func() {
-				if b.lead.term != term {
+				if b.lead.epoch != epoch {
 					return
 				}
 				b.lead.listBusy = false
--- /dev/null
+++ b/internal/controller/lend.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// A group that no single part can hold goes to the leader, which takes whole
+// machines from other parts: it writes e/lend/MACHINE under the version of the
+// part's key. The owner places nothing there any more, stops what the group may
+// evict and, once nothing is bound there, acknowledges. From then on the machine
+// is in the leader's own part, whose key and term are the leader's; there the
+// same core runs as in any part. A new term of the leader, higher than any token
+// that the former owner has used, fences that owner's commands; a new term of
+// the owner does the same when the machine is handed back.
+
+// lendValue is the stored form of a lending.
+type lendValue struct {
+	Job   string `json:"j"`
+	Level int    `json:"l"`
+	Own   bool   `json:"o,omitempty"`
+	Team  string `json:"t"`
+	Ack   bool   `json:"a,omitempty"`
+}
+
+type lend struct {
+	lendValue
+	stamp   uint64
+	writing bool
+	since   time.Time
+}
+
+func (l *lend) claim(b *brain) core.Claim {
+	return core.Claim{Level: l.Level, Own: l.Own, Team: b.team(l.Team)}
+}
+
+// lentPart is the number of the leader's own part.
+func (b *brain) lentPart() int { return len(b.parts) - 1 }
+
+func (b *brain) putLend(name string, v *lendValue, stamp uint64) {
+	m := b.machine(name)
+	before := b.home(m)
+	l := b.lends[name]
+	if l == nil {
+		l = &lend{since: b.now}
+		b.lends[name] = l
+	}
+	l.lendValue, l.stamp = *v, stamp
+	b.moved(m, before)
+	if before == b.home(m) && !l.Ack {
+		b.kick(m) // stops what the group may evict
+	}
+}
+
+func (b *brain) dropLend(name string) {
+	m := b.machine(name)
+	before := b.home(m)
+	delete(b.lends, name)
+	b.moved(m, before)
+	if p := b.parts[m.hash]; p.term != 0 && before != m.hash {
+		p.raise = true
+	}
+}
+
+// moved takes a machine out of the part that it was in.
+func (b *brain) moved(m *machine, before int) {
+	if b.home(m) == before {
+		return
+	}
+	b.log.Info("machine changes parts", "machine", m.name, "from", before, "to", b.home(m))
+	m.homeAt = b.now
+	if p := b.parts[before]; p.term != 0 {
+		p.cells.DropMachine(m.idx)
+	}
+	b.step()
+}
+
+// acknowledge hands over machines of a part of ours on which nothing is bound
+// or about to be.
+func (b *brain) acknowledge(p *part) {
+	for name, l := range b.lends {
+		m := b.machine(name)
+		if l.Ack || l.writing || m.hash != p.n || len(m.bound) > 0 {
+			continue
+		}
+		busy := false
+		for _, a := range p.alloc {
+			busy = busy || a.m == m
+		}
+		if busy {
+			continue
+		}
+		l.writing = true
+		v := l.lendValue
+		v.Ack = true
+		b.write(&store.Unit{
+			If:   []wire.Condition{{Key: p.key, Version: p.term}, {Key: preLend + name, Version: l.stamp}},
+			Then: []wire.Change{{Put: preLend + name, Value: mustJSON(v)}},
+		}, func(error) { l.writing = false })
+	}
+}
+
+// lentFor tells whether machines are lent, or being lent, for a job.
+func (b *brain) lentFor(j *job) bool {
+	for _, l := range b.lends {
+		if l.Job == j.id {
+			return true
+		}
+	}
+	return false
+}
+
+// borrow takes machines from other parts for a whole group of n tasks. It
+// reports whether they are on their way.
+func (b *brain) borrow(hosts []*core.Host, j *job, zone string, n int, c core.Claim) bool {
+	coming := 0
+	for name, l := range b.lends {
+		if l.Job != j.id {
+			continue
+		}
+		m := b.machine(name)
+		if t := b.types[m.typ]; t != nil {
+			coming += core.Amount(t.CPUs, t.GPUs, t.RAM).Fits(j.need, n)
+		}
+	}
+	if coming >= n {
+		return true
+	}
+	var can []*core.Host
+	for _, h := range hosts {
+		if h.Booting || h.Part == b.lentPart() || h.Touched || !allowed(j.spec, zone, h.Type, h.Zone, h.Spot) {
+			continue
+		}
+		if !slices.ContainsFunc(h.Claims, func(x core.HeldCell) bool { return !c.Evicts(x.Claim) }) {
+			can = append(can, h)
+		}
+	}
+	slices.SortFunc(can, func(x, y *core.Host) int {
+		return cmp.Or(cmp.Compare(len(x.Claims), len(y.Claims)), cmp.Compare(y.Size.Fits(j.need, n), x.Size.Fits(j.need, n)), cmp.Compare(x.ID, y.ID))
+	})
+	var chosen []*core.Host
+	for _, h := range can {
+		if coming >= n {
+			break
+		}
+		coming += h.Size.Fits(j.need, n)
+		chosen = append(chosen, h)
+	}
+	if coming < n || len(chosen) == 0 || len(chosen) > b.cfg.Settings.State.TxnOps {
+		return false
+	}
+	term, epoch := b.lead.term, b.lead.epoch
+	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	parts := map[int]bool{}
+	for _, h := range chosen {
+		h.Touched, h.Free = true, core.Res{}
+		key := preLend + b.byIdx[h.ID].name
+		u.If = append(u.If, wire.Condition{Key: key})
+		if !parts[h.Part] {
+			parts[h.Part] = true
+			u.If = append(u.If, wire.Condition{Key: b.parts[h.Part].key, Version: b.vers[b.parts[h.Part].key]})
+		}
+		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(lendValue{Job: j.id, Level: c.Level, Own: c.Own, Team: j.spec.Team})})
+	}
+	b.log.Info("machines are borrowed for a group", "job", j.id, "machines", len(chosen))
+	b.lead.writes++
+	b.write(u, func(err error) { b.leadWrote(epoch, err) })
+	return true
+}
+
+// tendLends fences machines that came in and hands back those that are not
+// needed: nothing stays lent for ever.
+func (b *brain) tendLends(hosts []*core.Host) {
+	p := b.parts[b.lentPart()]
+	for name, l := range b.lends {
+		m := b.machine(name)
+		if l.Ack && l.stamp > p.term {
+			p.raise = true // the former owner's tokens are below this stamp
+		}
+		if l.writing || l.Ack && len(m.bound) > 0 && !m.gone {
+			continue
+		}
+		j := b.jobs[l.Job]
+		needed := j != nil && j.fate == live && j.spec != nil && !m.gone
+		if needed {
+			needed = len(j.recs) == 0
+			for _, r := range j.recs {
+				needed = needed || r.part == p.n && r.bound() < len(r.entries)
+			}
+		}
+		// An owner that does not let go in time may have higher work there by now.
+		patience := b.lease + 2*config.Seconds(b.cfg.Settings.Workers.ReportS) + 10*time.Second
+		// One that has not reported since it came died on the way: it is its
+		// owner's again, who finds out what has become of it.
+		waits := b.now.Sub(l.since) < patience
+		if l.Ack {
+			waits = m.heard.After(p.took(m)) || b.now.Sub(p.took(m)) < b.silentAfter()+5*time.Second
+		}
+		if needed && waits {
+			continue
+		}
+		l.writing = true
+		term := b.lead.term
+		b.write(&store.Unit{
+			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: preLend + name, Version: l.stamp}},
+			Then: []wire.Change{{Delete: preLend + name}},
+		}, func(error) { l.writing = false })
+	}
+}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -15,6 +15,8 @@
 	name, addr, typ, zone string
 	spot                  bool
 	idx                   int32
+	hash                  int                // its part, unless it is lent
+	homeAt                time.Time          // when it last came to another part
 	bound                 map[core.Task]*rec // by stored bindings
 	gone                  bool
 
@@ -48,7 +50,7 @@
 func (b *brain) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
-		m = &machine{name: name, idx: int32(len(b.byIdx)), bound: map[core.Task]*rec{}, images: map[string]bool{}, failed: map[string]bool{}}
+		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), bound: map[core.Task]*rec{}, images: map[string]bool{}, failed: map[string]bool{}}
 		_, m.gone = b.gone[name]
 		b.machines[name] = m
 		b.byIdx = append(b.byIdx, m)
@@ -58,7 +60,7 @@
 
 // sizeMachine makes a machine's cells known to its part once its type is.
 func (b *brain) sizeMachine(m *machine) {
-	p := b.parts[partOf(m.name, len(b.parts))]
+	p := b.parts[b.home(m)]
 	t := b.types[m.typ]
 	if p.term == 0 || t == nil || m.gone || m.heard.IsZero() {
 		return
@@ -66,6 +68,22 @@
 	p.cells.SetMachine(m.idx, core.Amount(t.CPUs, t.GPUs, t.RAM))
 }
 
+// home is the part that a machine is in now.
+func (b *brain) home(m *machine) int {
+	if l := b.lends[m.name]; l != nil && l.Ack {
+		return b.lentPart()
+	}
+	return m.hash
+}
+
+// took is since when a part's owner has had a machine.
+func (p *part) took(m *machine) time.Time {
+	if m.homeAt.After(p.since) {
+		return m.homeAt
+	}
+	return p.since
+}
+
 // silentAfter is how long a machine may be quiet before it counts as silent. It
 // is well above what a worker needs to find its node's successor (an answer
 // outstanding for 4 s, then 1 s to the next).
@@ -75,22 +93,22 @@
 }
 
 func (b *brain) heardSince(m *machine, p *part) time.Time {
-	if m.heard.After(p.since) {
-		return m.heard
+	if t := p.took(m); !m.heard.After(t) {
+		return t
 	}
-	return p.since
+	return m.heard
 }
 
 // up tells whether an owner may place on its machine.
 func (b *brain) up(m *machine, p *part) bool {
-	return !m.gone && m.heard.After(p.since) && m.session > 0 &&
+	return !m.gone && m.heard.After(p.took(m)) && m.session > 0 &&
 		b.now.Sub(m.heard) < max(2*config.Seconds(b.cfg.Settings.Workers.ReportS), 3*time.Second)
 }
 
 // leaseOver tells whether a machine's lease has surely ended: nobody has sent
 // it an answer that could renew it for a whole lease, a former owner included.
 func (b *brain) leaseOver(m *machine, p *part) bool {
-	last := p.since.Add(p.old)
+	last := p.took(m).Add(p.old)
 	if m.answered.After(last) {
 		last = m.answered
 	}
@@ -102,9 +120,9 @@
 	if !b.loaded {
 		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "starting"}
 	}
-	p := b.parts[partOf(r.Machine, len(b.parts))]
+	p := b.parts[b.home(b.machine(r.Machine))]
 	if p.term == 0 {
-		h, ok := b.holders[partKey(p.n)]
+		h, ok := b.holders[p.key]
 		if !ok || h.Node == b.cfg.Name {
 			return api.Answer{Status: http.StatusServiceUnavailable, Reason: "no owner"}
 		}
@@ -265,13 +283,13 @@
 		return
 	}
 	b.outcomes[t] = o
-	b.freeCell(b.parts[partOf(e.m.name, len(b.parts))], t)
+	b.freeCell(b.parts[b.home(e.m)], t)
 	b.step()
 }
 
 // endAll ends every attempt on a machine that is gone or whose lease is over.
 func (b *brain) endAll(m *machine, why string) {
-	p := b.parts[partOf(m.name, len(b.parts))]
+	p := b.parts[b.home(m)]
 	if p.term == 0 {
 		return
 	}
@@ -304,6 +322,9 @@
 	if r.job.spec != nil && r.job.spec.Gang && b.broken(r) {
 		return true
 	}
+	if l := b.lends[m.name]; l != nil && !l.Ack && l.claim(b).Evicts(r.claim()) {
+		return true
+	}
 	// A task that can save is stopped before its machine is taken.
 	return !m.notice.IsZero() && r.job.spec != nil && r.job.spec.CheckS > 0 || m.suspect
 }
@@ -376,7 +397,7 @@
 
 // kick sends a machine's commands at once, without waiting for its report.
 func (b *brain) kick(m *machine) {
-	p := b.parts[partOf(m.name, len(b.parts))]
+	p := b.parts[b.home(m)]
 	if p.term == 0 || !p.active || m.gone || m.addr == "" || !m.heard.After(p.since) {
 		return
 	}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -26,7 +26,7 @@
 // and stores what changed: ended attempts and new bindings.
 func (b *brain) stepPart(p *part) {
 	for _, m := range b.byIdx {
-		if (len(m.bound) > 0) && partOf(m.name, len(b.parts)) == p.n && (m.gone || b.leaseOver(m, p)) {
+		if (len(m.bound) > 0) && b.home(m) == p.n && (m.gone || b.leaseOver(m, p)) {
 			b.endAll(m, "its lease is over")
 		}
 	}
@@ -51,6 +51,7 @@
 			b.store(p, r)
 		}
 	}
+	b.acknowledge(p)
 	if p.raise {
 		b.raiseTerm(p)
 	}
@@ -146,7 +147,7 @@
 		if !allowed(j, r.zone, m.typ, m.zone, m.spot) || !b.up(m, p) || !m.notice.IsZero() || m.suspect || b.now.Before(m.cooling) || m.failed[r.job.id] {
 			return -1
 		}
-		if b.lead.leaving[m.name] {
+		if b.lead.leaving[m.name] || b.lends[m.name] != nil && p.n != b.lentPart() {
 			return -1
 		}
 		s := 1000.0
@@ -207,7 +208,7 @@
 		return
 	}
 	job := r.job
-	u := &store.Unit{If: []wire.Condition{{Key: partKey(p.n), Version: p.term}, {Key: r.key, Version: r.stamp}}}
+	u := &store.Unit{If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
 	if job.fate == live {
 		// Binding and completing race with a cancellation: only one can hold.
 		u.If = append(u.If, wire.Condition{Key: jobKey(job.id), Version: job.stamp})
@@ -273,7 +274,7 @@
 			continue
 		}
 		for _, m := range b.byIdx {
-			if !m.gone && !m.heard.IsZero() && partOf(m.name, len(b.parts)) == p.n &&
+			if !m.gone && !m.heard.IsZero() && b.home(m) == p.n &&
 				b.now.Sub(b.heardSince(m, p)) > patience && b.now.Sub(m.heard) < 3*time.Minute {
 				b.ping(m, p)
 			}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -25,6 +25,7 @@
 	preJob    = "e/job/"
 	preGroup  = "e/group/"
 	preGone   = "e/gone/"
+	preLend   = "e/lend/"
 )
 
 func partKey(n int) string               { return prePart + strconv.Itoa(n) }
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -38,8 +38,8 @@
 	if !b.able() {
 		return
 	}
-	for _, p := range b.parts {
-		key := partKey(p.n)
+	for _, p := range b.parts[:b.lentPart()] {
+		key := p.key
 		pref := b.preferred(p.n)
 		if p.term == 0 {
 			wait := 300 * time.Millisecond
@@ -174,10 +174,9 @@
 	b.log.Info("right taken", "key", key, "term", stamp)
 	if key == keyLeader {
 		b.leaderGained(stamp)
-		return
 	}
 	for _, p := range b.parts {
-		if partKey(p.n) == key {
+		if p.key == key {
 			b.partGained(p, stamp)
 		}
 	}
@@ -192,10 +191,9 @@
 	r.stamp, r.lease = 0, 0
 	if key == keyLeader {
 		b.lead = leader{}
-		return
 	}
 	for _, p := range b.parts {
-		if partKey(p.n) == key {
+		if p.key == key {
 			p.term, p.active = 0, false
 			p.cells, p.alloc = nil, nil
 		}
@@ -258,7 +256,7 @@
 		}
 	}
 	for _, m := range b.byIdx {
-		if partOf(m.name, len(b.parts)) == p.n && !m.gone {
+		if b.home(m) == p.n && !m.gone {
 			m.doRest = time.Time{}
 			b.ping(m, p)
 		}
@@ -289,7 +287,7 @@
 // raiseTerm rewrites a part's key: a higher token, which fences commands that
 // may still be under way.
 func (b *brain) raiseTerm(p *part) {
-	key := partKey(p.n)
+	key := p.key
 	r := b.rights[key]
 	if r.busy || r.stamp == 0 || b.now.Sub(p.raised) < 4*time.Second {
 		return
@@ -318,13 +316,16 @@
 }
 
 func (b *brain) termRaised(p *part, r *right, stamp uint64) {
-	if h := b.holders[partKey(p.n)]; h.Boot != b.boot {
+	if h := b.holders[p.key]; h.Boot != b.boot {
 		return
 	}
 	r.stamp, p.term = stamp, stamp
+	if p.key == keyLeader {
+		b.lead.term = stamp
+	}
 	b.log.Info("term raised", "part", p.n, "term", stamp)
 	for _, m := range b.byIdx {
-		if partOf(m.name, len(b.parts)) == p.n && !m.gone {
+		if b.home(m) == p.n && !m.gone {
 			b.ping(m, p)
 		}
 	}
@@ -341,7 +342,7 @@
 		}
 		young = young || b.now.Sub(p.since) < window
 		for _, m := range b.byIdx {
-			if m.gone || partOf(m.name, len(b.parts)) != p.n {
+			if m.gone || b.home(m) != p.n {
 				continue
 			}
 			if len(m.bound) > 0 || !m.heard.IsZero() && b.now.Sub(m.heard) < time.Minute {
@@ -363,8 +364,8 @@
 		return
 	}
 	others, deaf := 0, 0
-	for _, p := range b.parts {
-		h, ok := b.holders[partKey(p.n)]
+	for _, p := range b.parts[:b.lentPart()] {
+		h, ok := b.holders[p.key]
 		if !ok || h.Node == b.cfg.Name {
 			continue
 		}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -57,7 +57,7 @@
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
-		holders: map[string]holder{}, gone: map[string]time.Time{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
+		holders: map[string]holder{}, gone: map[string]time.Time{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{},
 		outcomes: map[core.Task]outcome{}, metrics: metrics{lag: hdrhistogram.New(1, 10_000_000, 2)},
 	}
@@ -67,9 +67,11 @@
 		b.team(t.Name)
 	}
 	for n := range s.Count {
-		b.parts = append(b.parts, &part{n: n})
+		b.parts = append(b.parts, &part{n: n, key: partKey(n)})
 		b.rights[partKey(n)] = &right{key: partKey(n)}
 	}
+	// The last one is the leader's: machines that other parts have lent.
+	b.parts = append(b.parts, &part{n: s.Count, key: keyLeader})
 	for _, x := range cfg.Siblings {
 		b.siblings[x.Name] = &sibling{}
 	}
@@ -103,7 +105,7 @@
 			s.Offer(frame)
 		}
 	}})
-	b.log.Info("controller starts", "boot", b.boot, "parts", len(b.parts), "hold", b.hold)
+	b.log.Info("controller starts", "boot", b.boot, "parts", s.Count, "hold", b.hold)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -474,7 +474,7 @@
 			jobs++
 			kind := []string{wire.Array, wire.Array, wire.Service, wire.Gang}[rng.IntN(4)]
 			b := jobBody(fmt.Sprintf("wk-%d", jobs), kind, []string{"red", "blue"}[rng.IntN(2)],
-				[]string{"low", "normal", "urgent", "production"}[rng.IntN(4)], 1+rng.IntN(2), 1+float64(rng.IntN(2)), 1+float64(rng.IntN(10)))
+				[]string{"low", "normal", "urgent", "production"}[rng.IntN(4)], 1+rng.IntN(5), 1+float64(rng.IntN(3)), 1+float64(rng.IntN(10)))
 			if kind == wire.Array {
 				b["eggs"] = 1 + rng.IntN(25)
 				b["spread"] = rng.IntN(4) == 0
@@ -551,3 +551,56 @@
 func (n *node) brainHold() time.Duration {
 	return config.HoldTime(n.cfg.Settings.Workers.CancelS, n.cfg.Settings.Workers.LeaseS)
 }
+
+// A group that no part can hold alone gets machines from several parts, runs
+// whole, and the machines are handed back, whatever dies on the way.
+func TestGroupAcrossParts(t *testing.T) {
+	for kill := range 5 {
+		t.Run(fmt.Sprint(kill), func(t *testing.T) {
+			inWorld(t, func(c *cluster) {
+				c.world.Cloud.Capacity = 8
+				c.submit(jobBody("wk-1", wire.Array, "blue", "low", 60, 2, 10))
+				c.await("machines are up", time.Minute, func() bool { return c.world.Running("wk-1") >= 10 })
+				b := jobBody("wk-2", wire.Service, "blue", "production", 6, 3, 0)
+				b["hulls"] = []string{"small"}
+				c.submit(b)
+				switch kill {
+				case 1, 2, 3:
+					c.await("machines are borrowed", 2*time.Minute, func() bool { return len(c.world.State.Keys(preLend)) > 0 })
+					time.Sleep(time.Duration(kill*400) * time.Millisecond)
+					c.kill(kill - 1)
+					time.Sleep(9 * time.Second)
+					c.start(kill - 1)
+				case 4:
+					c.await("machines are borrowed", 2*time.Minute, func() bool { return len(c.world.State.Keys(preLend)) > 0 })
+					c.world.Cloud.Workers()[0].Die()
+				}
+				c.await("the service runs whole", 3*time.Minute, func() bool { return c.world.Running("wk-2") == 6 })
+				c.abort("wk-2")
+				c.await("nothing stays lent", time.Minute, func() bool { return len(c.world.State.Keys(preLend)) == 0 })
+				c.awaitDone("wk-1", 10*time.Minute)
+			})
+		})
+	}
+}
+
+// A new leader and new owners must not take machines that they have not heard
+// yet for ones that never came up.
+func TestTakeOverKeepsBusyMachines(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		for i := range 4 {
+			c.submit(jobBody(fmt.Sprintf("wk-%d", i+1), wire.Service, "blue", "urgent", 2, 2, 0))
+		}
+		c.await("the services run", time.Minute, func() bool { return c.world.Starts() == 8 })
+		time.Sleep(time.Minute) // older than any boot limit
+		for i := range 3 {
+			c.kill(i)
+			time.Sleep(12 * time.Second)
+			c.start(i)
+			time.Sleep(8 * time.Second)
+		}
+		if n := c.world.Starts(); n != 8 {
+			t.Errorf("%d starts of 8 replicas", n)
+		}
+	})
+}
