--- a/cmd/eiderhitch/main.go
+++ b/cmd/eiderhitch/main.go
@@ -20,9 +20,10 @@
 var version = "0.1.0"
 
 type cli struct {
-	Config  string           `help:"The platform's settings file (TOML)." placeholder:"FILE" required:"" type:"path"`
-	Check   bool             `help:"Check the settings and exit."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Config   string           `help:"The platform's settings file (TOML)." placeholder:"FILE" required:"" type:"path"`
+	Settings string           `help:"The operators' own settings (S-expressions); defaults without." placeholder:"FILE" type:"path"`
+	Check    bool             `help:"Check the settings and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
 func main() {
@@ -46,6 +47,12 @@
 	if err != nil {
 		return err
 	}
+	op := config.DefaultOperator()
+	if c.Settings != "" {
+		if op, err = config.LoadOperator(c.Settings, p); err != nil {
+			return err
+		}
+	}
 	if c.Check {
 		fmt.Println("settings are valid")
 		return nil
@@ -56,5 +63,5 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return controller.Run(ctx, p, log)
+	return controller.Run(ctx, p, op, log)
 }
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,197 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+)
+
+// Operator is what operators may set beyond the platform's file.
+type Operator struct {
+	// IdleBoots: an unused machine is kept for this many of its boot times.
+	IdleBoots float64
+	// Headroom: room kept for services to come, in square roots of their number.
+	Headroom float64
+	// ClassHeadroom overrides it for a class of jobs.
+	ClassHeadroom map[string]float64
+	// EvictAfter: array tasks look for free room this long before they stop others.
+	EvictAfter time.Duration
+	// BootPatience: a machine that is not up after this many boot times is returned.
+	BootPatience float64
+	// RightTTL: how long parts and the lead outlive their holder.
+	RightTTL time.Duration
+	// Spot: rent spot machines for jobs that may use them.
+	Spot bool
+}
+
+// DefaultOperator are the settings without a file.
+func DefaultOperator() *Operator {
+	return &Operator{
+		IdleBoots:     0.4,
+		Headroom:      1,
+		ClassHeadroom: map[string]float64{},
+		EvictAfter:    3 * time.Second,
+		BootPatience:  2.5,
+		// The least that a process short of processor time renews safely.
+		RightTTL: 4 * time.Second,
+		Spot:     true,
+	}
+}
+
+// LoadOperator reads an operators' settings file and checks it against the
+// platform's settings.
+func LoadOperator(path string, p *Platform) (*Operator, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	o, err := ParseOperator(string(raw), p)
+	if err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	return o, nil
+}
+
+// ParseOperator decodes settings such as
+//
+//	(eiderhitch (headroom 1.5) (evict-after 5s) (class "feed" (headroom 2)))
+//
+// Every error names its line and column.
+func ParseOperator(src string, p *Platform) (*Operator, error) {
+	exprs, err := ParseSexp(src)
+	if err != nil {
+		return nil, err
+	}
+	if len(exprs) != 1 || !exprs[0].IsList || len(exprs[0].List) == 0 || exprs[0].List[0].Atom != "eiderhitch" {
+		at := Pos{1, 1}
+		if len(exprs) > 0 {
+			at = exprs[min(len(exprs), 2)-1].Pos
+		}
+		return nil, errorAt(at, "one list (eiderhitch ...) is expected")
+	}
+	o := DefaultOperator()
+	seen := map[string]bool{}
+	for _, e := range exprs[0].List[1:] {
+		name, err := head(e)
+		if err != nil {
+			return nil, err
+		}
+		if name == "class" {
+			if err := o.class(e); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if seen[name] {
+			return nil, errorAt(e.Pos, "%s is set twice", name)
+		}
+		seen[name] = true
+		switch name {
+		case "idle-boots":
+			err = number(e, &o.IdleBoots, 0, 100)
+		case "headroom":
+			err = number(e, &o.Headroom, 0, 100)
+		case "boot-patience":
+			err = number(e, &o.BootPatience, 1, 100)
+		case "evict-after":
+			err = span(e, &o.EvictAfter, 0, time.Hour)
+		case "right-ttl":
+			err = span(e, &o.RightTTL, time.Second, 5*time.Minute)
+			if hold := HoldTime(p.Settings.Workers.CancelS, p.Settings.Workers.LeaseS); err == nil && o.RightTTL > hold {
+				err = errorAt(e.Pos, "right-ttl %v is longer than the %v that an owner may go on without the state service", o.RightTTL, hold.Round(time.Millisecond))
+			}
+		case "spot":
+			err = choice(e, &o.Spot)
+		default:
+			err = errorAt(e.List[0].Pos, "unknown setting %q", name)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return o, nil
+}
+
+func head(e Expr) (string, error) {
+	if !e.IsList || len(e.List) == 0 || e.List[0].IsList {
+		return "", errorAt(e.Pos, "a setting such as (headroom 1) is expected")
+	}
+	return e.List[0].Atom, nil
+}
+
+func (o *Operator) class(e Expr) error {
+	if len(e.List) != 3 || e.List[1].IsList {
+		return errorAt(e.Pos, `(class "name" (headroom n)) is expected`)
+	}
+	name := e.List[1].Atom
+	if _, ok := o.ClassHeadroom[name]; ok {
+		return errorAt(e.Pos, "class %q is set twice", name)
+	}
+	what, err := head(e.List[2])
+	if err != nil {
+		return err
+	}
+	if what != "headroom" {
+		return errorAt(e.List[2].Pos, "unknown setting %q of a class", what)
+	}
+	v := 0.0
+	if err := number(e.List[2], &v, 0, 100); err != nil {
+		return err
+	}
+	o.ClassHeadroom[name] = v
+	return nil
+}
+
+// HeadroomOf is the headroom for a class.
+func (o *Operator) HeadroomOf(class string) float64 {
+	if v, ok := o.ClassHeadroom[class]; ok {
+		return v
+	}
+	return o.Headroom
+}
+
+func value(e Expr) (Expr, error) {
+	if len(e.List) != 2 || e.List[1].IsList {
+		return Expr{}, errorAt(e.Pos, "%s takes one value", e.List[0].Atom)
+	}
+	return e.List[1], nil
+}
+
+func number(e Expr, to *float64, least, most float64) error {
+	v, err := value(e)
+	if err != nil {
+		return err
+	}
+	f, err := strconv.ParseFloat(v.Atom, 64)
+	if err != nil || v.Quoted || !(f >= least && f <= most) {
+		return errorAt(v.Pos, "%s must be a number from %g to %g", e.List[0].Atom, least, most)
+	}
+	*to = f
+	return nil
+}
+
+func span(e Expr, to *time.Duration, least, most time.Duration) error {
+	v, err := value(e)
+	if err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(v.Atom)
+	if err != nil || v.Quoted || d < least || d > most {
+		return errorAt(v.Pos, "%s must be a time such as 5s, from %v to %v", e.List[0].Atom, least, most)
+	}
+	*to = d
+	return nil
+}
+
+func choice(e Expr, to *bool) error {
+	v, err := value(e)
+	if err != nil {
+		return err
+	}
+	if v.Quoted || v.Atom != "yes" && v.Atom != "no" {
+		return errorAt(v.Pos, "%s must be yes or no", e.List[0].Atom)
+	}
+	*to = v.Atom == "yes"
+	return nil
+}
--- /dev/null
+++ b/internal/config/operator_test.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func platform(t testing.TB) *Platform {
+	p, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestOperatorSettings(t *testing.T) {
+	p := platform(t)
+	o, err := ParseOperator("; ours\n(eiderhitch (headroom 1.5) (evict-after 5s) (spot no) (right-ttl 6s)\n (class \"feed\" (headroom 2)) (idle-boots 1) (boot-patience 3))", p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Operator{IdleBoots: 1, Headroom: 1.5, ClassHeadroom: map[string]float64{"feed": 2}, EvictAfter: 5 * time.Second, BootPatience: 3, RightTTL: 6 * time.Second}
+	if d := cmp.Diff(want, o); d != "" {
+		t.Error(d)
+	}
+	if o.HeadroomOf("feed") != 2 || o.HeadroomOf("other") != 1.5 {
+		t.Error("headroom by class")
+	}
+	o, err = ParseOperator("(eiderhitch)", p)
+	if err != nil || cmp.Diff(DefaultOperator(), o) != "" {
+		t.Errorf("an empty list is not the defaults: %v", err)
+	}
+}
+
+func TestOperatorErrorsNameTheirPlace(t *testing.T) {
+	p := platform(t)
+	for src, want := range map[string]string{
+		"":                                     "1:1: one list",
+		"(other)":                              "1:1: one list",
+		"(eiderhitch) (eiderhitch)":            "1:14: one list",
+		"(eiderhitch\n  (headroom 1)":          "1:1: this ( is never closed",
+		"(eiderhitch))":                        "1:13: this ) closes nothing",
+		"(eiderhitch\n (headrom 1))":           "2:3: unknown setting \"headrom\"",
+		"(eiderhitch (headroom -1))":           "1:23: headroom must be",
+		"(eiderhitch (headroom \"1\"))":        "1:23: headroom must be",
+		"(eiderhitch (headroom))":              "1:13: headroom takes one value",
+		"(eiderhitch headroom)":                "1:13: a setting such as",
+		"(eiderhitch (headroom nan))":          "1:23: headroom must be",
+		"(eiderhitch (spot maybe))":            "1:19: spot must be yes or no",
+		"(eiderhitch (evict-after 5))":         "1:26: evict-after must be a time",
+		"(eiderhitch (spot no) (spot no))":     "1:23: spot is set twice",
+		"(eiderhitch (right-ttl 1m))":          "1:13: right-ttl 1m0s is longer",
+		"(eiderhitch (class \"é\" (spot no)))": "1:24: unknown setting \"spot\" of a class",
+		"(eiderhitch (class \"x))":             "1:20: this string is not closed",
+	} {
+		_, err := ParseOperator(src, p)
+		if err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v, not %q", src, err, want)
+		}
+	}
+}
+
+func FuzzOperator(f *testing.F) {
+	p := platform(f)
+	f.Add("(eiderhitch (headroom 1.5) ; x\n (class \"a\\\"b\" (headroom 2)))")
+	f.Add(strings.Repeat("(", 1000))
+	f.Fuzz(func(t *testing.T, src string) {
+		_, err := ParseOperator(src, p)
+		var s *SyntaxError
+		if err != nil && (!errors.As(err, &s) || s.Pos.Line < 1 || s.Pos.Col < 1) {
+			t.Errorf("%q: error without a place: %v", src, err)
+		}
+	})
+}
+
+func TestAnyInputIsRefusedWithAPlace(t *testing.T) {
+	p := platform(t)
+	rapid.Check(t, func(t *rapid.T) {
+		src := rapid.StringOfN(rapid.SampledFrom([]rune("(eidrhtc 1)\";\\\nspot nyé")), 0, 40, -1).Draw(t, "src")
+		_, err := ParseOperator("(eiderhitch "+src, p)
+		var s *SyntaxError
+		if err != nil && !errors.As(err, &s) {
+			t.Fatalf("%q: %v", src, err)
+		}
+	})
+}
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -20,6 +20,7 @@
 // brain is the actor's state. Only the actor's goroutine touches it.
 type brain struct {
 	cfg   *config.Platform
+	op    *config.Operator
 	log   *slog.Logger
 	boot  string
 	ctx   context.Context
@@ -69,7 +70,7 @@
 	stepDue  bool
 	// yieldUntil: this controller gave its rights up and takes none before then.
 	yieldUntil time.Time
-	metrics    metrics
+	metrics    *metrics
 }
 
 // sibling is what another controller told last.
@@ -197,9 +198,11 @@
 // write submits a unit; then runs in the actor with the result, after the
 // replica has taken the changes in.
 func (b *brain) write(u *store.Unit, then func(err error)) {
+	begun := b.now
 	u.Done = func(rev uint64, err error) {
 		// Never block the writer on a full inbox that waits for the writer.
 		go b.post(func() {
+			b.metrics.observe(lCommit, b.now.Sub(begun))
 			if err == nil {
 				b.applied(u, rev)
 			}
@@ -294,6 +297,9 @@
 
 func (b *brain) putJob(id string, v *jobValue, stamp uint64) {
 	j := b.job(id)
+	if j.stamp != 0 && j.fate != v.Fate {
+		b.log.Info("job is over", "job", id, "fate", fateNames[v.Fate])
+	}
 	j.stamp, j.fate = stamp, v.Fate
 	if v.Job != nil {
 		j.spec = v.Job
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -63,7 +63,7 @@
 }
 
 // leads tells whether this controller acts as the leader now.
-func (b *brain) leads() bool { return b.lead.active && b.fresh(rightTTL) }
+func (b *brain) leads() bool { return b.lead.active && b.fresh(b.op.RightTTL) }
 
 // hosts are the machines that owners vouch for, with what is bound on them.
 func (b *brain) hosts() []*core.Host {
@@ -170,7 +170,7 @@
 
 // status tells the siblings about this controller and its machines.
 func (b *brain) status() *mesh.Status {
-	s := &mesh.Status{Node: b.cfg.Name, Fresh: b.fresh(rightTTL), Able: b.able()}
+	s := &mesh.Status{Node: b.cfg.Name, Fresh: b.fresh(b.op.RightTTL), Able: b.able()}
 	for _, p := range b.parts {
 		if p.term == 0 || !p.active {
 			continue
@@ -830,21 +830,23 @@
 	slices.Sort(order)
 	for _, c := range order {
 		w := byClass[c]
-		w.count = int(math.Ceil(math.Sqrt(float64(w.count))))
+		w.count = int(math.Ceil(b.op.HeadroomOf(c) * math.Sqrt(float64(w.count))))
 		out = append(out, *w)
 	}
 	return out, level
 }
 
 // bootLimit is how long a machine may take to come up before it is given back.
-func bootLimit(t *wire.MachineType) time.Duration { return config.Seconds(2.5*t.BootS + 10) }
+func (b *brain) bootLimit(t *wire.MachineType) time.Duration {
+	return config.Seconds(b.op.BootPatience*t.BootS + 10)
+}
 
 // booting are machines that are rented and have not reported yet.
 func (b *brain) booting() []*core.Host {
 	var out []*core.Host
 	for name, r := range b.lead.rented {
 		t := b.types[r.typ]
-		if r.up || t == nil || b.lead.leaving[name] || b.now.Sub(r.since) > bootLimit(t) {
+		if r.up || t == nil || b.lead.leaving[name] || b.now.Sub(r.since) > b.bootLimit(t) {
 			continue
 		}
 		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
@@ -865,6 +867,9 @@
 	for _, t := range b.types {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{false, true} {
+				if spot && !b.op.Spot {
+					continue
+				}
 				o := core.Offer{Type: t.Name, Zone: z, Spot: spot}
 				if b.now.Before(b.lead.refused[o]) {
 					continue
@@ -968,8 +973,8 @@
 // idleFor is how long a machine may be unused before it is returned: as long as
 // its idling costs no more than it would to boot an ordinary one in its place,
 // so that waiting is never more than twice as dear as knowing the future.
-func idleFor(t *wire.MachineType, spot bool) time.Duration {
-	s := t.BootS * 0.4
+func (b *brain) idleFor(t *wire.MachineType, spot bool) time.Duration {
+	s := t.BootS * b.op.IdleBoots
 	if spot && t.SpotPrice > 0 {
 		s *= max(t.Price/t.SpotPrice, 1)
 	}
@@ -989,7 +994,7 @@
 		t := b.lead.idle[m.name]
 		if t.IsZero() {
 			b.lead.idle[m.name] = b.now
-		} else if b.now.Sub(t) > idleFor(b.types[m.typ], m.spot) {
+		} else if b.now.Sub(t) > b.idleFor(b.types[m.typ], m.spot) {
 			names = append(names, m.name)
 		}
 	}
@@ -1006,7 +1011,7 @@
 		if r.up {
 			since = r.seen
 		}
-		if t != nil && b.now.Sub(since) > bootLimit(t) && b.vouched(b.home(b.machine(name))) {
+		if t != nil && b.now.Sub(since) > b.bootLimit(t) && b.vouched(b.home(b.machine(name))) {
 			names = append(names, name)
 		}
 	}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -117,6 +117,7 @@
 
 // report takes a worker's report in and answers it.
 func (b *brain) report(r *wire.Report) api.Answer {
+	b.metrics.count(cReports, 1)
 	if !b.loaded {
 		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "starting"}
 	}
@@ -126,6 +127,7 @@
 		if !ok || h.Node == b.cfg.Name {
 			return api.Answer{Status: http.StatusServiceUnavailable, Reason: "no owner"}
 		}
+		b.metrics.count(cRedirected, 1)
 		return api.Answer{Status: http.StatusMisdirectedRequest, Body: wire.Redirect{Node: h.Node}}
 	}
 	if r.Token > p.term {
@@ -283,6 +285,12 @@
 		return
 	}
 	b.outcomes[t] = o
+	if o.done {
+		b.metrics.count(cDone, 1)
+	} else {
+		b.metrics.count(cLost, 1)
+	}
+	b.log.Debug("attempt over", "task", taskName(r.job.id, e.num), "attempt", e.attempt, "machine", e.m.name, "done", o.done)
 	b.freeCell(b.parts[b.home(e.m)], t)
 	b.step()
 }
--- /dev/null
+++ b/internal/controller/metrics.go
@@ -0,0 +1,85 @@
+package controller
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+type counter int
+
+const (
+	cAccepted counter = iota
+	cRefused
+	cUnavailable
+	cPolls
+	cReports
+	cRedirected
+	cBound
+	cDone
+	cLost
+	cEvicted
+	counters
+)
+
+var counterNames = [counters]string{"accepted", "refused", "unavailable", "polls", "reports", "redirected", "bound", "done", "lost", "evicting"}
+
+type latency int
+
+const (
+	lEvent  latency = iota // the actor's time for an event
+	lSubmit                // from a submission's arrival to its answer
+	lCommit                // from a record's submission to its result
+	lBind                  // from a job's acceptance to a task's first binding
+	latencies
+)
+
+var latencyNames = [latencies]string{"event", "submit", "commit", "bind"}
+
+// metrics counts cheaply; the totals since the last line are logged at intervals.
+type metrics struct {
+	mu     sync.Mutex
+	counts [counters]int64
+	lat    [latencies]*hdrhistogram.Histogram
+}
+
+const longest = 10 * time.Minute
+
+func newMetrics() *metrics {
+	m := &metrics{}
+	for i := range m.lat {
+		m.lat[i] = hdrhistogram.New(1, longest.Microseconds(), 2)
+	}
+	return m
+}
+
+func (m *metrics) count(c counter, n int) {
+	m.mu.Lock()
+	m.counts[c] += int64(n)
+	m.mu.Unlock()
+}
+
+func (m *metrics) observe(l latency, d time.Duration) {
+	m.mu.Lock()
+	_ = m.lat[l].RecordValue(min(max(d, time.Microsecond), longest).Microseconds())
+	m.mu.Unlock()
+}
+
+func (m *metrics) log(log *slog.Logger, jobs, machines int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	args := []any{"jobs", jobs, "machines", machines}
+	for i, n := range m.counts {
+		args = append(args, counterNames[i], n)
+	}
+	for i, h := range m.lat {
+		if h.TotalCount() > 0 {
+			args = append(args, latencyNames[i]+"_p50_us", h.ValueAtQuantile(50), latencyNames[i]+"_p99_us", h.ValueAtQuantile(99))
+		}
+		h.Reset()
+	}
+	m.counts = [counters]int64{}
+	log.Info("counters", args...)
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -16,7 +16,7 @@
 // stepParts takes the decisions of all parts that are ours.
 func (b *brain) stepParts() {
 	for _, p := range b.parts {
-		if p.active && b.fresh(rightTTL) {
+		if p.active && b.fresh(b.op.RightTTL) {
 			b.stepPart(p)
 		}
 	}
@@ -67,9 +67,6 @@
 	return -1
 }
 
-// evictAfter is how long an array's tasks look for free cells only.
-const evictAfter = 3 * time.Second
-
 // place asks for cells for a record's pending tasks: all of a service's first
 // start together, everything else one by one. Tasks of one record are alike,
 // so the first that finds no room speaks for all behind it.
@@ -99,12 +96,13 @@
 	request := func(tasks ...core.Task) bool {
 		// An array's tasks wait a little before they stop others: cells come
 		// free all the time, and what is stopped has run for nothing.
-		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim(), Mild: !spec.Whole() && b.now.Sub(r.since) < evictAfter}
+		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim(), Mild: !spec.Whole() && b.now.Sub(r.since) < b.op.EvictAfter}
 		p.cells.Request(g, score)
 		switch g.State {
 		case core.Allocated:
 			b.allocated(p, g)
 		case core.Preempting:
+			b.metrics.count(cEvicted, g.Victims())
 			b.log.Debug("group preempts", "job", r.job.id, "tasks", len(tasks))
 			for _, mi := range g.Machines {
 				b.kick(b.byIdx[mi])
@@ -248,6 +246,15 @@
 			b.readThen(func() { r.writing = false; b.step() })
 			return
 		}
+		b.metrics.count(cBound, len(bound))
+		for _, t := range bound {
+			if e := r.find(t.Num); e != nil && e.m != nil {
+				b.log.Debug("task bound", "task", taskName(job.id, t.Num), "attempt", e.attempt, "machine", e.m.name)
+				if e.attempt == 1 {
+					b.metrics.observe(lBind, b.now.Sub(job.at))
+				}
+			}
+		}
 		for _, x := range ended {
 			if b.outcomes[x.t] == x.o {
 				delete(b.outcomes, x.t)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -65,6 +65,8 @@
 	done
 )
 
+var fateNames = map[int]string{live: "live", cancelled: "cancelled", done: "done"}
+
 // jobValue is the stored form of a job. A final job keeps only its fate.
 type jobValue struct {
 	Fate int       `json:"f"`
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -12,10 +12,6 @@
 	"eiderhitch/internal/wire"
 )
 
-// rightTTL is how long a right outlives its holder. It is the least that a
-// process short of processor time renews safely.
-const rightTTL = 4 * time.Second
-
 // yieldFor is how long a controller that gave its rights up takes none.
 const yieldFor = 15 * time.Second
 
@@ -31,7 +27,7 @@
 }
 
 // able tells whether this controller should hold rights.
-func (b *brain) able() bool { return b.fresh(rightTTL) && !b.now.Before(b.yieldUntil) }
+func (b *brain) able() bool { return b.fresh(b.op.RightTTL) && !b.now.Before(b.yieldUntil) }
 
 // tendRights takes vacant rights and hands parts back to their preferred node.
 func (b *brain) tendRights() {
@@ -88,7 +84,7 @@
 }
 
 func (b *brain) take(r *right, key string, expect uint64) {
-	lease, err := b.st.Lease(b.ctx, rightTTL)
+	lease, err := b.st.Lease(b.ctx, b.op.RightTTL)
 	var ans *wire.TxnAnswer
 	if err == nil {
 		ans, err = b.st.Txn(b.ctx, &wire.Txn{
@@ -119,7 +115,7 @@
 
 // keep renews the lease of a right until it is lost.
 func (b *brain) keep(r *right, key string, lease uint64) {
-	t := time.NewTicker(rightTTL / 4)
+	t := time.NewTicker(b.op.RightTTL / 4)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"eiderhitch/internal/api"
 	"eiderhitch/internal/cloud"
 	"eiderhitch/internal/config"
@@ -23,12 +21,6 @@
 	"eiderhitch/internal/wire"
 )
 
-// metrics are counted cheaply and logged at intervals.
-type metrics struct {
-	events int64
-	lag    *hdrhistogram.Histogram // how long the actor took for an event, µs
-}
-
 const (
 	inboxSize     = 1024
 	tick          = 100 * time.Millisecond
@@ -47,11 +39,11 @@
 	send func(frame []byte)
 }
 
-func newBrain(ctx context.Context, cfg *config.Platform, log *slog.Logger, out outside) *brain {
+func newBrain(ctx context.Context, cfg *config.Platform, op *config.Operator, log *slog.Logger, out outside) *brain {
 	s := &cfg.Settings
 	st := store.NewClient(cfg.External.State, out.state)
 	b := &brain{
-		cfg: cfg, log: log.With("node", cfg.Name), boot: fmt.Sprintf("%016x", rand.Uint64()), ctx: ctx,
+		cfg: cfg, op: op, log: log.With("node", cfg.Name), boot: fmt.Sprintf("%016x", rand.Uint64()), ctx: ctx,
 		inbox: make(chan func(), inboxSize), cloudQ: make(chan func(), cloudQueue),
 		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS),
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
@@ -59,7 +51,7 @@
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]time.Time{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{},
-		outcomes: map[core.Task]outcome{}, metrics: metrics{lag: hdrhistogram.New(1, 10_000_000, 2)},
+		outcomes: map[core.Task]outcome{}, metrics: newMetrics(),
 	}
 	b.now = time.Now()
 	b.startedAt = b.now
@@ -79,7 +71,7 @@
 }
 
 // Run serves until ctx ends.
-func Run(ctx context.Context, cfg *config.Platform, log *slog.Logger) error {
+func Run(ctx context.Context, cfg *config.Platform, op *config.Operator, log *slog.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	apiL, err := net.Listen("tcp", cfg.APIAddr)
@@ -100,7 +92,7 @@
 	for _, x := range cfg.Siblings {
 		senders = append(senders, mesh.NewSender(x.Addr))
 	}
-	b := newBrain(ctx, cfg, log, outside{state: state, cloud: cl, workers: fl, send: func(frame []byte) {
+	b := newBrain(ctx, cfg, op, log, outside{state: state, cloud: cl, workers: fl, send: func(frame []byte) {
 		for _, s := range senders {
 			s.Offer(frame)
 		}
@@ -146,8 +138,7 @@
 		case f := <-b.inbox:
 			b.now = time.Now()
 			f()
-			_ = b.metrics.lag.RecordValue(max(time.Since(b.now).Microseconds(), 1))
-			b.metrics.events++
+			b.metrics.observe(lEvent, time.Since(b.now))
 			if b.stepDue && b.now.Sub(lastStep) > minStepPeriod {
 				b.stepDue, lastStep = false, b.now
 				b.stepParts()
@@ -175,10 +166,7 @@
 		}
 		if b.now.After(nextMetrics) {
 			nextMetrics = b.now.Add(metricsEvery)
-			b.log.Info("counters", "events", b.metrics.events, "event_p50_us", b.metrics.lag.ValueAtQuantile(50),
-				"event_p99_us", b.metrics.lag.ValueAtQuantile(99), "jobs", len(b.jobs), "machines", len(b.machines))
-			b.metrics.lag.Reset()
-			b.metrics.events = 0
+			b.metrics.log(b.log, len(b.jobs), len(b.machines))
 		}
 	}
 }
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -151,6 +151,23 @@
 
 // Submit accepts a job.
 func (b *brain) Submit(ctx context.Context, j *wire.Job) api.Answer {
+	begun := time.Now()
+	ans := b.submit(ctx, j)
+	b.metrics.observe(lSubmit, time.Since(begun))
+	switch {
+	case ans.Status == http.StatusCreated:
+		b.metrics.count(cAccepted, 1)
+		b.log.Info("job accepted", "job", j.ID, "team", j.Team, "class", j.Class, "tasks", j.Tasks)
+	case ans.Status >= 500:
+		b.metrics.count(cUnavailable, 1)
+	case ans.Status >= 400:
+		b.metrics.count(cRefused, 1)
+		b.log.Info("job refused", "job", j.ID, "why", ans.Reason)
+	}
+	return ans
+}
+
+func (b *brain) submit(ctx context.Context, j *wire.Job) api.Answer {
 	var ans api.Answer
 	var result chan error
 	check := false
@@ -162,7 +179,7 @@
 			check = true
 		case len(b.types) == 0:
 			ans = unavailable("machine types are not known yet")
-		case !b.fresh(rightTTL):
+		case !b.fresh(b.op.RightTTL):
 			ans = unavailable("state service out of reach")
 		case b.impossible(j) != "":
 			check = true
@@ -215,6 +232,7 @@
 // after a read of the state service that began after the question came, so
 // that it is never older than what any controller has said.
 func (b *brain) Poll(ctx context.Context, id string) api.Answer {
+	b.metrics.count(cPolls, 1)
 	if !wire.ValidID(id) {
 		return api.Answer{Status: http.StatusNotFound, Reason: "no such job"}
 	}
@@ -307,7 +325,7 @@
 	ready := false
 	b.ask(ctx, func() {
 		known := b.loaded && len(b.types) > 0
-		if known && b.fresh(rightTTL+2*time.Second) {
+		if known && b.fresh(b.op.RightTTL+2*time.Second) {
 			ready = true
 			return
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -105,7 +105,7 @@
 		out = os.Stderr
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	b := newBrain(ctx, n.cfg, log, outside{state: n.net, cloud: n.net, workers: n.net, send: func(frame []byte) {
+	b := newBrain(ctx, n.cfg, config.DefaultOperator(), log, outside{state: n.net, cloud: n.net, workers: n.net, send: func(frame []byte) {
 		for k, o := range c.nodes {
 			o.mu.Lock()
 			to, cut := o.brain, o.meshCut.Load() || n.meshCut.Load()
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -116,11 +116,8 @@
 	victims int
 }
 
-// Placement is one task's machine.
-type Placement struct {
-	Task    Task
-	Machine int32
-}
+// Victims is how many tasks a Preempting group waits for.
+func (g *Group) Victims() int { return g.victims }
 
 type machine struct {
 	size  Res
