--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"strconv"
 	"strings"
@@ -148,7 +149,10 @@
 	return b.loaded && b.now.Sub(b.freshAt) < limit
 }
 
-func (b *brain) reset(items []wire.Item, rev uint64) {
+// reset takes a whole reading in: pages read at different revisions, and the
+// changes since the first. Only both together are a state that ever was; a count
+// of done tasks that moved between two pages would else be seen twice.
+func (b *brain) reset(items []wire.Item, rev uint64, since *wire.Events) {
 	seen := make(map[string]bool, len(items))
 	for i := range items {
 		seen[items[i].Key] = true
@@ -162,6 +166,7 @@
 		b.put(items[i].Key, items[i].Value, items[i].Version)
 	}
 	b.cursor = max(b.cursor, rev)
+	b.events(since)
 	b.loaded = true
 }
 
@@ -253,7 +258,18 @@
 		}
 	}
 	if err != nil {
-		b.log.Error("stored record can't be decoded; it is left alone", "key", key, "err", err)
+		b.undecodable(key, err)
+	}
+}
+
+// undecodable names a record that this version can't read. Nothing is guessed:
+// its job is neither dealt nor ended, and its user is told to come back.
+func (b *brain) undecodable(key string, err error) {
+	b.log.Error("stored record can't be decoded; it is left alone", "key", key, "err", err)
+	if id, _, ok := splitGroupKey(key); ok && strings.HasPrefix(key, preGroup) {
+		b.job(id).bad = true
+	} else if id, ok := strings.CutPrefix(key, preJob); ok {
+		b.job(id).bad = true
 	}
 }
 
@@ -305,6 +321,7 @@
 		j.spec = v.Job
 		j.at = time.UnixMilli(v.At)
 		j.need = core.Amount(v.Job.CPUs, v.Job.GPUs, v.Job.RAM)
+		j.sig = fmt.Sprint(v.Job.CPUs, v.Job.GPUs, v.Job.RAM, v.Job.Types, v.Job.Zone, v.Job.Spot, v.Job.Priority, v.Job.Whole(), v.Job.Team)
 		j.team = b.team(v.Job.Team)
 	}
 	if j.fate != live {
@@ -372,6 +389,10 @@
 		b.log.Error("stored key is malformed; it is left alone", "key", key)
 		return
 	}
+	if v.Part < 0 || v.Part >= len(b.parts) {
+		b.undecodable(key, fmt.Errorf("part %d does not exist", v.Part))
+		return
+	}
 	r := b.recByKey[key]
 	if r == nil {
 		j := b.job(id)
@@ -419,10 +440,6 @@
 
 // adopt brings the cells of a part of ours in line with a stored record.
 func (b *brain) adopt(r *rec) {
-	if r.part < 0 || r.part >= len(b.parts) {
-		b.log.Error("record names a part that does not exist", "key", r.key, "part", r.part)
-		return
-	}
 	if r.job.spec == nil {
 		return
 	}
@@ -446,9 +463,6 @@
 
 // cancelClaims gives up what a record's tasks claim without a stored binding.
 func (b *brain) cancelClaims(r *rec) {
-	if r.part < 0 || r.part >= len(b.parts) {
-		return
-	}
 	p := b.parts[r.part]
 	if p.term == 0 {
 		return
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -226,6 +226,40 @@
 	b.provision(hosts, wants)
 }
 
+// mergeDone keeps large arrays from leaving a record behind for every dealing:
+// records without tasks are merged into one.
+func (b *brain) mergeDone(j *job) bool {
+	var empty []*rec
+	for _, r := range j.recs {
+		if len(r.entries) == 0 && !r.writing {
+			empty = append(empty, r)
+		}
+	}
+	if len(empty) < 8 {
+		return false
+	}
+	slices.SortFunc(empty, func(x, y *rec) int { return cmp.Compare(x.k, y.k) })
+	empty = empty[:min(len(empty), b.cfg.Settings.State.TxnOps/2)]
+	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}}}
+	n := 0
+	for i, r := range empty {
+		r.writing = true
+		n += r.done
+		u.If = append(u.If, wire.Condition{Key: r.key, Version: r.stamp})
+		if i > 0 {
+			u.Then = append(u.Then, wire.Change{Delete: r.key})
+		}
+	}
+	u.Then = append(u.Then, wire.Change{Put: empty[0].key, Value: empty[0].value(n, nil)})
+	j.newRec() // the numbers of the deleted ones must not come again
+	b.write(u, func(error) {
+		for _, r := range empty {
+			r.writing = false
+		}
+	})
+	return true
+}
+
 // logFleet logs now and then how full the machines are.
 func (b *brain) logFleet(hosts []*core.Host) {
 	if b.now.Sub(b.lead.loggedAt) < fleetEvery {
@@ -260,8 +294,14 @@
 		if j.stamp == 0 || len(j.recs) == 0 {
 			continue
 		}
+		if j.fate == live && j.bad {
+			continue
+		}
 		if j.fate == live {
 			n, finished := j.dealt()
+			if b.mergeDone(j) {
+				budget--
+			}
 			if j.spec != nil && !j.spec.Service && !j.ending && n == finished && finished == j.spec.Tasks {
 				budget--
 				j.ending = true
@@ -358,12 +398,13 @@
 		wants = append(wants, want{job: spec, zone: r.zone, need: r.job.need, count: n, service: spec.Whole(), windowS: b.window(r.job)})
 	}
 	for _, j := range b.jobs {
-		if j.fate == live && j.spec != nil && j.stamp != 0 {
+		if j.fate == live && j.spec != nil && j.stamp != 0 && !j.bad {
 			jobs = append(jobs, j)
 		}
 	}
 	slices.SortFunc(jobs, byUrgency)
 	limits := b.limits()
+	noRoom := map[string]bool{}
 	b.lead.ahead = b.dealAhead(lost)
 	for _, j := range jobs {
 		dealt, _ := j.dealt()
@@ -375,8 +416,16 @@
 			continue
 		}
 		if left := j.spec.Tasks - dealt; left > 0 {
+			if noRoom[j.sig] && !j.spec.Whole() {
+				// Jobs alike are decided as a class: where one found no room,
+				// none behind it will.
+				n := limits[j.team].Room(j.need, left)
+				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j)})
+				continue
+			}
 			if w := b.dealJob(hosts, limits, j, dealt, left); w.count > 0 {
 				wants = append(wants, w)
+				noRoom[j.sig] = true
 			}
 		}
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -103,6 +103,8 @@
 	recs  map[int]*rec
 	loc   map[int32]*rec // of each task that is dealt and not done
 
+	bad      bool   // a record of it can't be decoded
+	sig      string // what jobs alike in need and permissions share
 	nextRec  int
 	dealtAt  time.Time
 	ending   bool            // a write of the fate is in flight
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -184,10 +184,14 @@
 			var items []wire.Item
 			var rev uint64
 			items, rev, err = b.st.All(b.ctx, prefix)
+			var ev *wire.Events
+			if err == nil {
+				ev, err = b.st.Watch(b.ctx, prefix, rev, 0)
+			}
 			if err == nil {
 				loaded = true
 				b.ask(b.ctx, func() {
-					b.reset(items, rev)
+					b.reset(items, rev, ev)
 					b.read(start)
 					cursor = b.cursor
 				})
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -241,6 +241,8 @@
 	if !b.ask(ctx, func() {
 		if !b.loaded {
 			ans, final = unavailable("starting"), true
+		} else if j := b.jobs[id]; j != nil && j.bad {
+			ans, final = unavailable("a stored record of the job can't be decoded"), true
 		} else if j := b.known(id); j != nil && j.fate != live {
 			ans, final = api.Answer{Status: http.StatusOK, Body: j.state()}, true
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -604,3 +604,55 @@
 		}
 	})
 }
+
+// A large array and a flood of small ones: records and transactions stay within
+// the limits, what is done leaves little behind, reports keep being answered.
+func TestFlood(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "blue", "low", 1500, 1, 1))
+		for i := range 60 {
+			c.submit(jobBody(fmt.Sprintf("wk-%d", i+2), wire.Array, "blue", "normal", 5, 1, 1))
+		}
+		most := 0
+		c.await("all is done", 20*time.Minute, func() bool {
+			most = max(most, len(c.world.State.Keys(preGroup+"wk-1/")))
+			return c.state("wk-1") == wire.Done
+		})
+		if most > 120 {
+			t.Errorf("%d records of one array", most)
+		}
+		for i := range 60 {
+			c.awaitDone(fmt.Sprintf("wk-%d", i+2), time.Minute)
+		}
+	})
+}
+
+// A stored record that can't be decoded is named and left alone: its user is
+// told to come back, nothing is dealt twice, and the rest goes on.
+func TestUndecodableRecord(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		time.Sleep(3 * time.Second)
+		put := func(key, value string) {
+			raw := fmt.Sprintf(`{"if":[],"then":[{"write":%q,"v":%s}]}`, key, value)
+			req, _ := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://state:1/txn", strings.NewReader(raw))
+			if resp, err := c.user.RoundTrip(req); err != nil || resp.StatusCode != 200 {
+				t.Fatal(err)
+			}
+		}
+		put(jobKey("wk-9"), `"what"`)
+		put(groupKey("wk-8", 0), `{"p":77}`)
+		put("e/odd", `[]`)
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 3, 1, 1))
+		c.awaitDone("wk-1", time.Minute)
+		for i := range c.nodes {
+			c.kill(i)
+			c.start(i)
+		}
+		time.Sleep(5 * time.Second)
+		for _, id := range []string{"wk-8", "wk-9"} {
+			if status, _ := c.call(http.MethodGet, "/v1/jobs/"+id, nil, 3*time.Second); status != 0 {
+				t.Errorf("%s: status %d", id, status)
+			}
+		}
+	})
+}
