--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -97,7 +98,10 @@
 	if err := toml.NewDecoder(bytes.NewReader(raw)).Decode(&p); err != nil {
 		if de, ok := errors.AsType[*toml.DecodeError](err); ok {
 			row, col := de.Position()
-			return nil, fmt.Errorf("line %d column %d, field %v: %w", row, col, de.Key(), err)
+			if key := strings.Join(de.Key(), "."); key != "" {
+				return nil, fmt.Errorf("line %d column %d: %s: not a value of the right type", row, col, key)
+			}
+			return nil, fmt.Errorf("line %d column %d: %w", row, col, err)
 		}
 		return nil, err
 	}
