--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -365,9 +365,7 @@
 			recs = append(recs, r)
 		}
 	}
-	byUrgency := func(x, y *job) int {
-		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), x.at.Compare(y.at), cmp.Compare(x.id, y.id))
-	}
+	byUrgency := b.byUrgency()
 	slices.SortFunc(recs, func(x, y *rec) int { return cmp.Or(byUrgency(x.job, y.job), cmp.Compare(x.k, y.k)) })
 	for _, r := range recs {
 		n := len(r.entries) - r.bound()
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -30,6 +30,7 @@
 			b.endAll(m, "its lease is over")
 		}
 	}
+	byUrgency := b.byUrgency()
 	var mine []*rec
 	for _, r := range b.recs {
 		if r != nil && r.part == p.n && r.job.spec != nil {
@@ -38,8 +39,7 @@
 	}
 	slices.SortFunc(mine, func(x, y *rec) int {
 		cx, cy := x.claim(), y.claim()
-		return cmp.Or(cmp.Compare(cy.Level, cx.Level), boolCmp(cy.Own, cx.Own), x.job.at.Compare(y.job.at),
-			cmp.Compare(x.job.id, y.job.id), cmp.Compare(x.k, y.k))
+		return cmp.Or(cmp.Compare(cy.Level, cx.Level), boolCmp(cy.Own, cx.Own), byUrgency(x.job, y.job), cmp.Compare(x.k, y.k))
 	})
 	for _, r := range mine {
 		if !r.writing && r.job.fate == live && !b.now.Before(r.job.retryAt) {
@@ -57,6 +57,49 @@
 	}
 }
 
+// urgency orders jobs of one priority. When more is asked than can be done, the
+// most jobs are in time if those that can't be any more stand back, and of the
+// others the one with the least left to do goes first.
+type urgency struct {
+	late int // 0: in time, or has no deadline; 1: by half as much again; 2: hopeless
+	work float64
+}
+
+func (b *brain) urgency(j *job) urgency {
+	if j.spec.Whole() || j.spec.NoDeadline {
+		return urgency{}
+	}
+	_, finished := j.dealt()
+	age, est := b.now.Sub(j.at).Seconds(), j.spec.EstimateS
+	u := urgency{work: float64(j.spec.Tasks-finished) * est * j.spec.CPUs}
+	switch {
+	case age+est <= j.spec.DeadlineS:
+	case age+est <= 1.5*j.spec.DeadlineS:
+		u.late = 1
+	default:
+		u.late = 2
+	}
+	return u
+}
+
+// byUrgency compares jobs by priority and urgency, each looked at once.
+func (b *brain) byUrgency() func(x, y *job) int {
+	known := map[*job]urgency{}
+	of := func(j *job) urgency {
+		u, ok := known[j]
+		if !ok {
+			u = b.urgency(j)
+			known[j] = u
+		}
+		return u
+	}
+	return func(x, y *job) int {
+		ux, uy := of(x), of(y)
+		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), cmp.Compare(ux.late, uy.late), cmp.Compare(ux.work, uy.work),
+			x.at.Compare(y.at), cmp.Compare(x.id, y.id))
+	}
+}
+
 func boolCmp(x, y bool) int {
 	if x == y {
 		return 0
