--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -411,7 +411,7 @@
 		r.since = b.now
 	}
 	b.unlinkGroup(r)
-	r.stamp, r.part, r.zone, r.own, r.done = stamp, v.Part, v.Zone, v.Own, v.Done
+	r.stamp, r.part, r.zone, r.own, r.done, r.cap = stamp, v.Part, v.Zone, v.Own, v.Done, v.Cap
 	r.entries = make([]entry, 0, len(v.Tasks))
 	for _, x := range v.Tasks {
 		e := entry{num: x.Num, attempt: x.Attempt, session: x.Session}
@@ -423,6 +423,11 @@
 		r.job.loc[x.Num] = r
 	}
 	b.adopt(r)
+	for i := range r.entries {
+		if m := r.entries[i].m; m != nil && r.excess(r.entries[i].num) {
+			b.kick(m)
+		}
+	}
 	b.step()
 }
 
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -338,10 +338,7 @@
 		}
 		// A dealt task counts for its team's limit whether it runs or not; one
 		// of a cancelled job until it is proven gone.
-		n := len(r.entries)
-		if r.job.fate != live {
-			n = r.bound()
-		}
+		n := r.counts()
 		l := &out[r.job.team]
 		use := r.job.need.Times(n)
 		l.Used = l.Used.Plus(use)
@@ -368,8 +365,8 @@
 	byUrgency := b.byUrgency()
 	slices.SortFunc(recs, func(x, y *rec) int { return cmp.Or(byUrgency(x.job, y.job), cmp.Compare(x.k, y.k)) })
 	for _, r := range recs {
-		n := len(r.entries) - r.bound()
-		if n == 0 {
+		n := r.may() - r.bound()
+		if n <= 0 {
 			continue
 		}
 		spec := r.job.spec
@@ -405,6 +402,7 @@
 	noRoom := map[string]bool{}
 	b.lead.ahead = b.dealAhead(lost)
 	for _, j := range jobs {
+		b.uncap(j, &limits[j.team])
 		dealt, _ := j.dealt()
 		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Whole() {
 			if left := j.spec.Tasks - dealt; left > 0 {
@@ -477,6 +475,9 @@
 	spec := j.spec
 	lim := &limits[j.team]
 	room := lim.Room(j.need, left)
+	if room < left {
+		b.squeeze(j, j.need.Times(left).Minus(j.need.Times(room)), lim)
+	}
 	if spec.Whole() && room < left {
 		room = 0 // it is dealt whole
 	}
@@ -592,6 +593,78 @@
 	return w
 }
 
+// squeeze makes room within a team's limit for a job that waits for it: tasks of
+// the team's lower jobs are stopped, dealt ones that don't run yet, of equal jobs
+// too, stand back. Else what is dealt of an array would hold the limit against a
+// service for minutes.
+func (b *brain) squeeze(j *job, lack core.Res, lim *core.Limit) {
+	level := j.spec.Priority
+	var from []*rec
+	for _, r := range b.recs {
+		if r == nil || r.job == j || r.job.spec == nil || r.job.team != j.team || r.job.fate != live || r.job.spec.Whole() || r.job.spec.Priority > level {
+			continue
+		}
+		if r.cap != 0 { // what is on its way out already
+			lack = lack.Minus(r.job.need.Times(max(0, r.bound()-r.may())))
+		}
+		if !r.writing {
+			from = append(from, r)
+		}
+	}
+	urgent := b.byUrgency()
+	slices.SortFunc(from, func(x, y *rec) int { return cmp.Or(urgent(y.job, x.job), cmp.Compare(y.k, x.k)) })
+	for _, running := range []bool{false, true} {
+		for _, r := range from {
+			if lack.CPU <= 0 && lack.GPU <= 0 {
+				return
+			}
+			least := r.bound()
+			if running && r.job.spec.Priority < level {
+				least = 0
+			}
+			if !running && r.job.spec.Priority == level && urgent(j, r.job) >= 0 {
+				continue
+			}
+			k := 0
+			for r.may()-k > least && (lack.CPU > 0 || lack.GPU > 0) {
+				k++
+				lack = lack.Minus(r.job.need)
+			}
+			if k > 0 && !r.writing {
+				b.setCap(r, r.may()-k)
+			}
+		}
+	}
+}
+
+// uncap lets tasks run again that had to stand back, as the limit permits.
+func (b *brain) uncap(j *job, lim *core.Limit) {
+	for _, r := range j.recs {
+		if r.cap == 0 || r.writing || r.may() == len(r.entries) {
+			continue
+		}
+		if k := lim.Room(j.need, len(r.entries)-r.counts()); k > 0 {
+			lim.Used = lim.Used.Plus(j.need.Times(k))
+			b.setCap(r, r.counts()+k)
+		}
+	}
+}
+
+func (b *brain) setCap(r *rec, n int) {
+	changed := *r
+	changed.cap = n + 1
+	if n >= len(r.entries) {
+		changed.cap = 0
+	}
+	epoch := b.lead.epoch
+	r.writing = true
+	b.lead.writes++
+	b.write(&store.Unit{
+		If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: r.key, Version: r.stamp}},
+		Then: []wire.Change{{Put: r.key, Value: changed.value(r.done, r.entries)}},
+	}, func(err error) { r.writing = false; b.leadWrote(epoch, err) })
+}
+
 func sum(xs []int) int {
 	n := 0
 	for _, x := range xs {
@@ -734,8 +807,8 @@
 	if spec.Whole() && n < len(r.entries) && r.bound() == 0 {
 		n = len(r.entries) // a group that has not started moves whole
 	}
-	if spec.Gang && r.bound() > 0 {
-		return false
+	if spec.Gang && r.bound() > 0 || r.cap != 0 {
+		return false // two records with one's cap would count for more than it
 	}
 	perPart := make([]int, len(b.parts))
 	can := func(h *core.Host) bool {
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -324,7 +324,7 @@
 	if r.job.fate != live {
 		return true
 	}
-	if c := p.cells.CellOf(t); c != nil && c.State == core.Reserving {
+	if c := p.cells.CellOf(t); c != nil && c.State == core.Reserving || r.excess(t.Num) {
 		return true
 	}
 	if r.job.spec != nil && r.job.spec.Gang && b.broken(r) {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -115,6 +115,9 @@
 // so the first that finds no room speaks for all behind it.
 func (b *brain) place(p *part, r *rec) {
 	pending, busy, started := b.pending(p, r)
+	if over := len(pending) - max(0, r.may()-(len(r.entries)-len(pending))); over > 0 {
+		pending = pending[:len(pending)-over]
+	}
 	if len(pending) == 0 {
 		return
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -77,10 +77,13 @@
 // groupValue is the stored form of a placement record: some tasks of a job that
 // one part is in charge of. A task that is done leaves the record.
 type groupValue struct {
-	Part  int          `json:"p"`
-	Zone  string       `json:"z,omitempty"`
-	Own   bool         `json:"o,omitempty"`
-	Done  int          `json:"d,omitempty"`
+	Part int    `json:"p"`
+	Zone string `json:"z,omitempty"`
+	Own  bool   `json:"o,omitempty"`
+	Done int    `json:"d,omitempty"`
+	// Cap is one more than the number of tasks that may be bound at a time;
+	// 0: all. The leader lowers it to make room within the team's limit.
+	Cap   int          `json:"c,omitempty"`
 	Tasks []entryValue `json:"t"`
 }
 
@@ -146,6 +149,7 @@
 	zone    string
 	own     bool
 	done    int
+	cap     int // see groupValue
 	entries []entry
 	writing bool
 	since   time.Time // when it came to its part
@@ -172,13 +176,48 @@
 	return n
 }
 
+// may is how many tasks may be bound at a time.
+func (r *rec) may() int {
+	if r.cap == 0 {
+		return len(r.entries)
+	}
+	return min(r.cap-1, len(r.entries))
+}
+
+// counts is how many tasks count for the team's limit: those that may be bound
+// and those that still are; of a job that is over only the latter.
+func (r *rec) counts() int {
+	if r.job.fate != live {
+		return r.bound()
+	}
+	return max(r.bound(), r.may())
+}
+
+// excess tells whether a bound task is beyond what may be bound.
+func (r *rec) excess(num int32) bool {
+	if r.cap == 0 {
+		return false
+	}
+	n := 0
+	for i := range r.entries {
+		if r.entries[i].m == nil {
+			continue
+		}
+		n++
+		if r.entries[i].num == num {
+			return n > r.cap-1
+		}
+	}
+	return false
+}
+
 func (r *rec) claim() core.Claim {
 	return core.Claim{Level: r.job.spec.Priority, Own: r.own, Team: r.job.team}
 }
 
 // value is the record with other entries.
 func (r *rec) value(done int, entries []entry) json.RawMessage {
-	v := groupValue{Part: r.part, Zone: r.zone, Own: r.own, Done: done, Tasks: make([]entryValue, 0, len(entries))}
+	v := groupValue{Part: r.part, Zone: r.zone, Own: r.own, Done: done, Cap: r.cap, Tasks: make([]entryValue, 0, len(entries))}
 	for _, e := range entries {
 		x := entryValue{Num: e.num, Attempt: e.attempt}
 		if e.m != nil {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -308,6 +308,21 @@
 	})
 }
 
+// A service whose team's limit is taken up by the team's own lower array gets
+// its share at once, and the array goes on with the rest.
+func TestLimitIsGivenToHigherWork(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "red", "low", 60, 2, 30))
+		c.await("the array fills the limit", time.Minute, func() bool { return c.world.Running("wk-1") == 12 })
+		c.submit(jobBody("wk-2", wire.Service, "red", "urgent", 2, 4, 0))
+		c.await("the service runs", 10*time.Second, func() bool { return c.world.Running("wk-2") == 2 })
+		c.await("the array has the rest", 20*time.Second, func() bool { return c.world.Running("wk-1") == 8 })
+		c.abort("wk-2")
+		c.await("the array has all again", 20*time.Second, func() bool { return c.world.Running("wk-1") == 12 })
+		c.awaitDone("wk-1", 10*time.Minute)
+	})
+}
+
 func TestTakeOver(t *testing.T) {
 	inWorld(t, func(c *cluster) {
 		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 40, 2, 8))
