--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -67,6 +67,7 @@
 	siblings map[string]*sibling
 	send     func(frame []byte)
 	lead     leader
+	closing  map[string]bool // machines that the leader wants to return
 	outcomes map[core.Task]outcome
 	stepDue  bool
 	// yieldUntil: this controller gave its rights up and takes none before then.
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -28,6 +28,8 @@
 	// since when, and by whom, each part is vouched for without a gap
 	vouchedAt []time.Time
 	vouchedBy []string
+	closing   map[string]bool // being emptied
+	spare     []sample        // free CPUs of late, see closeSpare
 	rented    map[string]*rented
 	leaving   map[string]bool // being released
 	idle      map[string]time.Time
@@ -95,6 +97,9 @@
 			h.Free = h.Free.Minus(r.job.need)
 			h.Claims = append(h.Claims, core.HeldCell{Claim: r.claim(), Size: r.job.need})
 		}
+		if b.lead.closing[m.name] {
+			h.Free, h.Claims = core.Res{}, nil // no room for anybody
+		}
 		out = append(out, h)
 	}
 	for _, p := range b.parts {
@@ -171,6 +176,9 @@
 // status tells the siblings about this controller and its machines.
 func (b *brain) status() *mesh.Status {
 	s := &mesh.Status{Node: b.cfg.Name, Fresh: b.fresh(b.op.RightTTL), Able: b.able()}
+	for name := range b.lead.closing {
+		s.Closing = append(s.Closing, name)
+	}
 	for _, p := range b.parts {
 		if p.term == 0 || !p.active {
 			continue
@@ -197,6 +205,12 @@
 		x.since = b.now
 	}
 	x.status, x.at = s, b.now
+	if b.holders[keyLeader].Node == s.Node {
+		b.closing = map[string]bool{}
+		for _, name := range s.Closing {
+			b.closing[name] = true
+		}
+	}
 }
 
 // want is a number of like tasks that found no room: one decision for all.
@@ -867,7 +881,7 @@
 	if len(b.types) == 0 {
 		return
 	}
-	all := append(hosts, b.booting()...)
+	all := append(slices.Clone(hosts), b.booting()...)
 	offers := b.offers()
 	plan := map[core.Offer]int{}
 	like := map[string]int{} // tasks of each class that run now
@@ -925,9 +939,83 @@
 	for o, n := range plan {
 		b.rent(o, min(n, 50))
 	}
+	b.closeSpare(hosts, spare, level, len(wants) > 0)
 	b.returnIdle(hosts)
 }
 
+// sample is how many CPUs were free at a time.
+type sample struct {
+	at  time.Time
+	cpu int64
+}
+
+// closeSpare empties machines that the fleet has not needed of late. Arrays are
+// spread over what there is, so that few machines are ever idle by themselves:
+// when more is free all the time than a machine holds, one without services
+// takes no more work and is returned when it is empty.
+func (b *brain) closeSpare(hosts []*core.Host, spare []want, level int, short bool) {
+	if b.lead.closing == nil {
+		b.lead.closing = map[string]bool{}
+	}
+	b.closing = b.lead.closing
+	if short {
+		clear(b.lead.closing)
+		b.lead.spare = nil
+		return
+	}
+	free := int64(0)
+	window := time.Duration(0)
+	for _, h := range hosts {
+		m := b.byIdx[h.ID]
+		if !b.lead.closing[m.name] {
+			used := core.Res{}
+			for _, c := range h.Claims {
+				used = used.Plus(c.Size)
+			}
+			free += h.Size.CPU - used.CPU
+		}
+		window = max(window, b.idleFor(b.types[h.Type], false))
+	}
+	for _, w := range spare {
+		free -= w.need.CPU * int64(w.count)
+	}
+	b.lead.spare = append(b.lead.spare, sample{b.now, free})
+	for len(b.lead.spare) > 0 && b.now.Sub(b.lead.spare[0].at) > window {
+		b.lead.spare = b.lead.spare[1:]
+	}
+	if b.now.Sub(b.lead.spare[0].at) < window*9/10 || b.now.Sub(b.lead.since) < window {
+		return // not seen for long enough
+	}
+	least := free
+	for _, s := range b.lead.spare {
+		least = min(least, s.cpu)
+	}
+	var best *core.Host
+	bestUsed := int64(0)
+	for _, h := range hosts {
+		if h.Spot || h.Part == b.lentPart() || h.Size.CPU > least || b.lead.closing[b.byIdx[h.ID].name] ||
+			slices.ContainsFunc(h.Claims, func(c core.HeldCell) bool { return c.Claim.Level >= level }) {
+			continue
+		}
+		used := int64(0)
+		for _, c := range h.Claims {
+			used += c.Size.CPU
+		}
+		if best == nil || used*best.Size.CPU < bestUsed*h.Size.CPU {
+			best, bestUsed = h, used
+		}
+	}
+	if best == nil {
+		return
+	}
+	name := b.byIdx[best.ID].name
+	b.lead.closing[name] = true
+	for i := range b.lead.spare {
+		b.lead.spare[i].cpu -= best.Size.CPU - bestUsed
+	}
+	b.log.Info("machine is emptied to be returned", "machine", name, "spare_cpus", least/1000)
+}
+
 // headroom keeps room for services to come: the number of services that run at
 // a time varies by about its square root.
 func (b *brain) headroom() (out []want, level int) {
@@ -1114,7 +1202,7 @@
 		t := b.lead.idle[m.name]
 		if t.IsZero() {
 			b.lead.idle[m.name] = b.now
-		} else if b.now.Sub(t) > b.idleFor(b.types[m.typ], m.spot) {
+		} else if b.closing[m.name] || b.now.Sub(t) > b.idleFor(b.types[m.typ], m.spot) {
 			names = append(names, m.name)
 		}
 	}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -191,15 +191,15 @@
 		if !allowed(j, r.zone, m.typ, m.zone, m.spot) || !b.up(m, p) || !m.notice.IsZero() || m.suspect || b.now.Before(m.cooling) || m.failed[r.job.id] {
 			return -1
 		}
-		if b.lead.leaving[m.name] || b.lends[m.name] != nil && p.n != b.lentPart() {
+		if b.closing[m.name] || b.lead.leaving[m.name] || b.lends[m.name] != nil && p.n != b.lentPart() {
 			return -1
 		}
 		s := 1000.0
 		if m.images[j.Image] {
-			s -= 500
+			s -= 400
 		}
 		if m.spot {
-			s -= 200
+			s -= 500 // what is dear is left to those who need it
 		}
 		// Tight packing leaves whole machines free to be returned.
 		return s + float64(min(free.CPU, 100_000))/1000
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -54,6 +54,9 @@
 	Able     bool
 	Parts    []uint64
 	Machines []Machine
+	// Closing: machines on which nothing should be placed any more, since the
+	// leader wants to return them.
+	Closing []string
 }
 
 // ErrVersion: the peer speaks another version.
@@ -86,6 +89,10 @@
 		buf = binary.AppendUvarint(buf, m.Session)
 		buf = append(buf, m.Flags)
 	}
+	buf = binary.AppendUvarint(buf, uint64(len(s.Closing)))
+	for _, name := range s.Closing {
+		buf = appendString(buf, name)
+	}
 	binary.BigEndian.PutUint32(buf[start+4:], uint32(len(buf)-start-headerSize))
 	return buf
 }
@@ -183,6 +190,9 @@
 			break
 		}
 	}
+	for range r.count(1) {
+		s.Closing = append(s.Closing, r.text())
+	}
 	if r.bad || len(r.buf) != 0 {
 		return nil, errors.New("mesh: malformed status")
 	}
--- a/internal/mesh/frame_test.go
+++ b/internal/mesh/frame_test.go
@@ -17,6 +17,9 @@
 			s.Machines = append(s.Machines, Machine{Name: rapid.StringN(0, 20, 100).Draw(t, "name"), Addr: "10.1.0.2:9000", Type: "g8", Zone: "a",
 				Session: rapid.Uint64().Draw(t, "session"), Flags: rapid.Uint8().Draw(t, "flags")})
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "closing") {
+			s.Closing = append(s.Closing, rapid.StringN(0, 20, 100).Draw(t, "closes"))
+		}
 		if len(s.Parts) == 0 {
 			s.Parts = nil
 		}
