--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -221,6 +221,7 @@
 	count   int
 	service bool
 	windowS float64
+	slackS  float64 // until the deadline
 }
 
 // lead deals work to parts and rents and returns machines.
@@ -280,9 +281,12 @@
 		return
 	}
 	b.lead.loggedAt = b.now
-	var size, free core.Res
+	var size, free, spot, spotFree core.Res
 	for _, h := range hosts {
 		size, free = size.Plus(h.Size), free.Plus(h.Free)
+		if h.Spot {
+			spot, spotFree = spot.Plus(h.Size), spotFree.Plus(h.Free)
+		}
 	}
 	waiting, dealt := 0, 0
 	for _, j := range b.jobs {
@@ -295,6 +299,7 @@
 		}
 	}
 	b.log.Info("fleet", "up", len(hosts), "booting", len(b.booting()), "cpus", size.CPU/1000, "free_cpus", free.CPU/1000,
+		"spot_cpus", spot.CPU/1000, "spot_free_cpus", spotFree.CPU/1000, "closing", len(b.lead.closing),
 		"tasks_waiting", waiting, "tasks_dealt", dealt)
 }
 
@@ -404,7 +409,7 @@
 		if !r.writing && b.now.Sub(r.since) > time.Second && b.moveStuck(hosts, r, n) {
 			continue
 		}
-		wants = append(wants, want{job: spec, zone: r.zone, need: r.job.need, count: n, service: spec.Whole(), windowS: b.window(r.job)})
+		wants = append(wants, want{job: spec, zone: r.zone, need: r.job.need, count: n, service: spec.Whole(), windowS: b.window(r.job), slackS: b.slack(r.job)})
 	}
 	for _, j := range b.jobs {
 		if j.fate == live && j.spec != nil && j.stamp != 0 && !j.bad {
@@ -421,7 +426,7 @@
 		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Whole() {
 			if left := j.spec.Tasks - dealt; left > 0 {
 				n := limits[j.team].Room(j.need, left)
-				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j)})
+				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j), slackS: b.slack(j)})
 			}
 			continue
 		}
@@ -430,7 +435,7 @@
 				// Jobs alike are decided as a class: where one found no room,
 				// none behind it will.
 				n := limits[j.team].Room(j.need, left)
-				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j)})
+				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j), slackS: b.slack(j)})
 				continue
 			}
 			if w := b.dealJob(hosts, limits, j, dealt, left); w.count > 0 {
@@ -442,6 +447,14 @@
 	return wants
 }
 
+// slack is the time until a job's deadline.
+func (b *brain) slack(j *job) float64 {
+	if j.spec.NoDeadline {
+		return math.Inf(1)
+	}
+	return j.spec.DeadlineS - b.now.Sub(j.at).Seconds()
+}
+
 // dealEvery spaces the dealings of one array: it is dealt out in few records.
 const dealEvery = time.Second
 
@@ -600,7 +613,7 @@
 		b.write(u, func(err error) { b.leadWrote(epoch, err) })
 		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
 	}
-	w := want{job: spec, need: j.need, count: room - got, service: spec.Whole(), windowS: b.window(j)}
+	w := want{job: spec, need: j.need, count: room - got, service: spec.Whole(), windowS: b.window(j), slackS: b.slack(j)}
 	if spec.OneZone {
 		w.zone = b.pinned(j)
 	}
@@ -902,11 +915,26 @@
 		if n <= 0 {
 			return
 		}
-		var fitting []core.Priced
+		var fitting, late []core.Priced
 		for _, o := range offers {
-			if allowed(w.job, w.zone, o.Type, o.Zone, o.Spot) {
-				fitting = append(fitting, o)
+			if !allowed(w.job, w.zone, o.Type, o.Zone, o.Spot) {
+				continue
+			}
+			// An ordinary machine that is up too late to help an array keep its
+			// deadline is dear for nothing; spot ones are worth having anyway.
+			if !w.service && !o.Spot && w.slackS < o.BootS+w.job.EstimateS {
+				late = append(late, o)
+				continue
+			}
+			fitting = append(fitting, o)
+		}
+		if len(fitting) == 0 {
+			// The work must be done some time, at leisure: once there are
+			// machines for such tasks it waits for them.
+			if slices.ContainsFunc(all, ok) {
+				return
 			}
+			fitting, n = late, (n+7)/8
 		}
 		o, k := core.Choose(fitting, w.need, n, n+like[w.job.Class]/4, 100)
 		if k == 0 {
@@ -1301,6 +1329,7 @@
 		r := b.lead.rented[n]
 		delete(b.lead.rented, n)
 		delete(b.lead.idle, n)
+		delete(b.lead.closing, n)
 		if r != nil && !r.up && len(b.machine(n).bound) == 0 {
 			b.machine(n).gone = true // it never was: nobody needs to know
 			continue
