--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -241,40 +241,6 @@
 	b.provision(hosts, wants)
 }
 
-// mergeDone keeps large arrays from leaving a record behind for every dealing:
-// records without tasks are merged into one.
-func (b *brain) mergeDone(j *job) bool {
-	var empty []*rec
-	for _, r := range j.recs {
-		if len(r.entries) == 0 && !r.writing {
-			empty = append(empty, r)
-		}
-	}
-	if len(empty) < 8 {
-		return false
-	}
-	slices.SortFunc(empty, func(x, y *rec) int { return cmp.Compare(x.k, y.k) })
-	empty = empty[:min(len(empty), b.cfg.Settings.State.TxnOps/2)]
-	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}}}
-	n := 0
-	for i, r := range empty {
-		r.writing = true
-		n += r.done
-		u.If = append(u.If, wire.Condition{Key: r.key, Version: r.stamp})
-		if i > 0 {
-			u.Then = append(u.Then, wire.Change{Delete: r.key})
-		}
-	}
-	u.Then = append(u.Then, wire.Change{Put: empty[0].key, Value: empty[0].value(n, nil)})
-	j.newRec() // the numbers of the deleted ones must not come again
-	b.write(u, func(error) {
-		for _, r := range empty {
-			r.writing = false
-		}
-	})
-	return true
-}
-
 // logFleet logs now and then how full the machines are.
 func (b *brain) logFleet(hosts []*core.Host) {
 	if b.now.Sub(b.lead.loggedAt) < fleetEvery {
@@ -318,9 +284,6 @@
 		}
 		if j.fate == live {
 			n, finished := j.dealt()
-			if b.mergeDone(j) {
-				budget--
-			}
 			if j.spec != nil && !j.spec.Service && !j.ending && n == finished && finished == j.spec.Tasks {
 				budget--
 				j.ending = true
@@ -599,18 +562,41 @@
 	// one write that failed, would have a later dealing hand out tasks twice.
 	term, epoch := b.lead.term, b.lead.epoch
 	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	// Records whose tasks are all done are used again, so that a large array
+	// leaves few behind. None is deleted while its job lives: a dealing that is
+	// applied minutes late must not find its key absent once more.
+	var empty []*rec
+	for _, r := range j.recs {
+		if len(r.entries) == 0 && !r.writing {
+			empty = append(empty, r)
+		}
+	}
+	slices.SortFunc(empty, func(x, y *rec) int { return cmp.Compare(x.k, y.k) })
+	var used []*rec
 	for _, g := range chunks {
 		if g.Own {
 			lim.OwnUsed = lim.OwnUsed.Plus(j.need.Times(len(g.Tasks)))
 		}
-		key := groupKey(j.id, j.newRec())
-		u.If = append(u.If, wire.Condition{Key: key})
+		key, stamp := "", uint64(0)
+		if len(empty) > 0 {
+			key, stamp, g.Done = empty[0].key, empty[0].stamp, empty[0].done
+			empty[0].writing = true
+			used, empty = append(used, empty[0]), empty[1:]
+		} else {
+			key = groupKey(j.id, j.newRec())
+		}
+		u.If = append(u.If, wire.Condition{Key: key, Version: stamp})
 		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(g)})
 	}
 	if got > 0 {
 		j.dealtAt = b.now
 		b.lead.writes++
-		b.write(u, func(err error) { b.leadWrote(epoch, err) })
+		b.write(u, func(err error) {
+			for _, r := range used {
+				r.writing = false
+			}
+			b.leadWrote(epoch, err)
+		})
 		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
 	}
 	w := want{job: spec, need: j.need, count: room - got, service: spec.Whole(), windowS: b.window(j), slackS: b.slack(j)}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -358,6 +358,7 @@
 // commands are what a machine should do, by its newest report.
 func (b *brain) commands(m *machine, p *part) []wire.Command {
 	var stops, starts []wire.Command
+	there := map[string]bool{} // tasks with an attempt that can't be reaped yet
 	shown := make(map[core.Task]bool, len(m.tasks))
 	open := m.openDo == p.term || m.doStart || m.respOpen
 	for i := range m.tasks {
@@ -367,7 +368,9 @@
 			if t.State != wire.Exited {
 				zero := 0.0
 				stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
-			} else if !open && m.token == p.term {
+			} else if open || m.token != p.term {
+				there[t.Task] = true
+			} else {
 				// After a reap the worker knows the attempt no more, and a
 				// late start of it would run it again: only when none can come.
 				stops = append(stops, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
@@ -394,7 +397,9 @@
 		if o, ok := b.outcomes[t]; ok && o.attempt == e.attempt {
 			continue
 		}
-		starts = append(starts, wire.Command{Op: wire.OpStart, Task: taskName(r.job.id, t.Num), Attempt: e.attempt})
+		if name := taskName(r.job.id, t.Num); !there[name] { // it would be refused
+			starts = append(starts, wire.Command{Op: wire.OpStart, Task: name, Attempt: e.attempt})
+		}
 	}
 	out := append(stops, starts...)
 	if out == nil {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -671,3 +671,30 @@
 		}
 	})
 }
+
+// A transaction that is applied a minute late finds none of its conditions true
+// again: no key that may be created under "does not exist" is deleted while the
+// rest of its conditions can still hold. (A dealing that came back to life handed
+// tasks out twice, and a job was called done too early.)
+func TestVeryLateTransactions(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		rng := rand.New(rand.NewPCG(3, 4))
+		var mu sync.Mutex
+		for _, n := range c.nodes {
+			n.net.LateBy = 40 * time.Second
+			n.net.Judge(func(r *http.Request) standin.Fate {
+				mu.Lock()
+				defer mu.Unlock()
+				if r.URL.Path == "/txn" && rng.IntN(5) == 0 {
+					return standin.Late
+				}
+				return standin.Deliver
+			})
+		}
+		c.world.Cloud.Capacity = 4
+		c.submit(jobBody("wk-1", wire.Array, "blue", "low", 700, 1, 1))
+		c.awaitDone("wk-1", 20*time.Minute)
+		time.Sleep(time.Minute)
+		c.await("records are cleared up", 2*time.Minute, func() bool { return len(c.world.State.Keys(preGroup)) == 0 })
+	})
+}
