--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -212,6 +212,11 @@
 		(pinned == "" || pinned == zone) && (!spot || j.Spot)
 }
 
+// gatherEnds is how long ended attempts of a record may wait for others. It is
+// well below the 3 s within which a done job must be known as done, and a
+// record's last task does not wait at all.
+const gatherEnds = 500 * time.Millisecond
+
 // store writes what has changed of a record, if anything.
 func (b *brain) store(p *part, r *rec) {
 	var next []entry
@@ -249,9 +254,20 @@
 		next = append(next, e)
 	}
 	if !changed {
+		r.endedAt = time.Time{}
 		return
 	}
 	job := r.job
+	if len(bound) == 0 && len(next) > 0 && job.fate == live {
+		// Ends alone can wait a little for each other: writes are scarce.
+		if r.endedAt.IsZero() {
+			r.endedAt = b.now
+		}
+		if b.now.Sub(r.endedAt) < gatherEnds {
+			return
+		}
+	}
+	r.endedAt = time.Time{}
 	u := &store.Unit{If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
 	if job.fate == live {
 		// Binding and completing race with a cancellation: only one can hold.
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -152,6 +152,7 @@
 	cap     int // see groupValue
 	entries []entry
 	writing bool
+	endedAt time.Time // since when ended attempts wait to be stored
 	since   time.Time // when it came to its part
 }
 
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -160,6 +160,7 @@
 		b.log.Info("job accepted", "job", j.ID, "team", j.Team, "class", j.Class, "tasks", j.Tasks)
 	case ans.Status >= 500:
 		b.metrics.count(cUnavailable, 1)
+		b.log.Debug("job not taken", "job", j.ID, "why", ans.Reason)
 	case ans.Status >= 400:
 		b.metrics.count(cRefused, 1)
 		b.log.Info("job refused", "job", j.ID, "why", ans.Reason)
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -155,11 +155,14 @@
 		}
 	}
 	for fits(batch, w.ops) {
-		select {
-		case u := <-w.urgent:
-			batch = append(batch, u)
-			continue
-		default:
+		if batch[0].Urgent {
+			select {
+			case u := <-w.urgent:
+				batch = append(batch, u)
+				continue
+			default:
+			}
+			break
 		}
 		select {
 		case u := <-usual:
@@ -200,7 +203,12 @@
 			}
 			t.Then = append(t.Then, u.Then...)
 		}
-		if err := w.limit.WaitN(ctx, min(len(t.Then), w.limit.Burst())); err != nil {
+		// Users' writes don't queue behind the records' for the local limit:
+		// they are few, and after an outage there are records for seconds.
+		n := min(len(t.Then), w.limit.Burst())
+		if batch[0].Urgent {
+			w.limit.ReserveN(time.Now(), n)
+		} else if err := w.limit.WaitN(ctx, n); err != nil {
 			for _, u := range batch {
 				u.Done(0, ErrUnknown)
 			}
