--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -288,6 +288,7 @@
 	switch {
 	case strings.HasPrefix(key, preGroup):
 		if r := b.recByKey[key]; r != nil {
+			b.releaseClaims(r, nil)
 			b.unlinkGroup(r)
 			delete(r.job.recs, r.k)
 			delete(b.recByKey, key)
@@ -411,6 +412,13 @@
 		}
 		r.since = b.now
 	}
+	if r.part >= 0 {
+		kept := make(map[int32]bool, len(v.Tasks))
+		for _, x := range v.Tasks {
+			kept[x.Num] = true
+		}
+		b.releaseClaims(r, kept)
+	}
 	b.unlinkGroup(r)
 	r.stamp, r.part, r.zone, r.own, r.done, r.cap = stamp, v.Part, v.Zone, v.Own, v.Done, v.Cap
 	r.entries = make([]entry, 0, len(v.Tasks))
@@ -485,6 +493,27 @@
 	}
 }
 
+// releaseClaims gives up whatever tasks hold in a part of ours that leave a
+// record. Left behind, their cells would never be free again, and a look at
+// their record would find none.
+func (b *brain) releaseClaims(r *rec, kept map[int32]bool) {
+	p := b.parts[r.part]
+	if p.term == 0 {
+		return
+	}
+	for i := range r.entries {
+		if kept[r.entries[i].num] {
+			continue
+		}
+		t := r.task(r.entries[i].num)
+		if g := p.cells.Waiting(t); g != nil {
+			p.cells.Cancel(g)
+		}
+		delete(p.alloc, t)
+		b.freeCell(p, t)
+	}
+}
+
 // freeCell ends a task's use of its cell; a group that waited for it may now
 // be Allocated.
 func (b *brain) freeCell(p *part, t core.Task) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -39,6 +39,7 @@
 	rentals   int
 	listAt    time.Time
 	listBusy  bool
+	listed    bool // the list has been read since the lead was taken
 	typesAt   time.Time
 }
 
@@ -950,13 +951,31 @@
 	for _, w := range spare {
 		serve(w)
 	}
-	for o, n := range plan {
-		b.rent(o, min(n, 50))
+	// A new leader does not know yet what is up or booting: it would rent all
+	// of it once more.
+	if b.lead.listed && b.allVouched() || b.now.Sub(b.lead.since) > settleAfter {
+		for o, n := range plan {
+			b.rent(o, min(n, 50))
+		}
 	}
 	b.closeSpare(hosts, spare, level, len(wants) > 0)
 	b.returnIdle(hosts)
 }
 
+// settleAfter is how long a new leader waits for the list of machines and for
+// the parts' owners before it rents.
+const settleAfter = 10 * time.Second
+
+// allVouched tells whether every part's owner is in touch.
+func (b *brain) allVouched() bool {
+	for i := range b.parts {
+		if b.lead.vouchedAt[i].IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // sample is how many CPUs were free at a time.
 type sample struct {
 	at  time.Time
@@ -1063,12 +1082,17 @@
 	return config.Seconds(b.op.BootPatience*t.BootS + 10)
 }
 
+// usualBoot is how many of its nominal boot times a machine usually takes at
+// the most.
+const usualBoot = 1.6
+
 // booting are machines that are rented and have not reported yet.
 func (b *brain) booting() []*core.Host {
 	var out []*core.Host
 	for name, r := range b.lead.rented {
 		t := b.types[r.typ]
-		if r.up || t == nil || b.lead.leaving[name] || b.now.Sub(r.since) > b.bootLimit(t) {
+		// One that is well past its usual time is not counted on any more.
+		if r.up || t == nil || b.lead.leaving[name] || b.now.Sub(r.since) > config.Seconds(usualBoot*t.BootS) {
 			continue
 		}
 		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
@@ -1395,6 +1419,7 @@
 // takeList takes the cloud's list in: machines that failed are gone, ones that
 // nobody knows of are used.
 func (b *brain) takeList(list []wire.CloudMachine) {
+	b.lead.listed = true
 	var failed []string
 	lag := config.Seconds(2 * b.cfg.Settings.Cloud.ListLagS)
 	listed := map[string]bool{}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -85,6 +85,9 @@
 			time.Sleep(time.Minute) // whatever still waits ends on the bubble's clock
 		}()
 		f(c)
+		for i := range c.nodes {
+			c.checkClaims(i)
+		}
 		for _, b := range w.Breaches() {
 			t.Error(b)
 		}
@@ -94,6 +97,38 @@
 	})
 }
 
+// checkClaims looks into a controller: its cells are consistent, and everything
+// that holds one is a task of a record.
+func (c *cluster) checkClaims(i int) {
+	n := c.nodes[i]
+	if n.cancel == nil {
+		return
+	}
+	b := n.brain
+	if !b.ask(c.ctx, func() {
+		for _, p := range b.parts {
+			if p.term == 0 || !p.active {
+				continue
+			}
+			if err := p.cells.Check(); err != nil {
+				c.t.Errorf("node %d part %d: %v", i, p.n, err)
+			}
+			for _, t := range p.cells.Tasks() {
+				if r := b.recs[t.Rec]; r == nil || r.find(t.Num) == nil {
+					c.t.Errorf("node %d part %d: cell of %v, which no record has", i, p.n, t)
+				}
+			}
+			for t := range p.alloc {
+				if p.cells.CellOf(t) == nil {
+					c.t.Errorf("node %d part %d: %v is allocated without a cell", i, p.n, t)
+				}
+			}
+		}
+	}) {
+		c.t.Errorf("node %d does not answer", i)
+	}
+}
+
 func (c *cluster) start(i int) {
 	n := c.nodes[i]
 	if n.cancel != nil {
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -183,6 +183,15 @@
 // CellOf is the cell that a task uses, or nil.
 func (p *Part) CellOf(t Task) *Cell { return p.used[t] }
 
+// Tasks lists the tasks that use a cell.
+func (p *Part) Tasks() []Task {
+	out := make([]Task, 0, len(p.used))
+	for t := range p.used {
+		out = append(out, t)
+	}
+	return out
+}
+
 // Waiting is the Preempting group that a task is in, or nil.
 func (p *Part) Waiting(t Task) *Group { return p.waiting[t] }
 
