What stood back for a team's limit comes forward only when nobody more urgent waits

Cause: a service that waited for its team's limit had arrays stopped, and the arrays took the room again before it was dealt, over and over (found by a test that failed one time in thirty).

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -383,13 +383,19 @@
 	slices.SortFunc(jobs, byUrgency)
 	limits := b.limits()
 	noRoom := map[string]bool{}
+	short := map[int32]bool{} // teams in which somebody waits for the limit
 	b.lead.ahead = b.dealAhead(lost)
 	for _, j := range jobs {
-		b.uncap(j, &limits[j.team])
+		// While somebody more urgent waits within the team's limit, nothing that
+		// stood back comes forward: it would be stopped and started for ever.
+		if !short[j.team] {
+			b.uncap(j, &limits[j.team])
+		}
 		dealt, _ := j.dealt()
 		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Whole() {
 			if left := j.spec.Tasks - dealt; left > 0 {
 				n := limits[j.team].Room(j.need, left)
+				short[j.team] = short[j.team] || n < left
 				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j), slackS: b.slack(j)})
 			}
 			continue
@@ -402,10 +408,17 @@
 				wants = append(wants, want{job: j.spec, need: j.need, count: n, windowS: b.window(j), slackS: b.slack(j)})
 				continue
 			}
-			if w := b.dealJob(hosts, limits, j, dealt, left); w.count > 0 {
+			before := limits[j.team].Used
+			short[j.team] = short[j.team] || limits[j.team].Room(j.need, left) < left
+			w := b.dealJob(hosts, limits, j, dealt, left)
+			if w.count > 0 {
 				wants = append(wants, w)
 				noRoom[j.sig] = true
 			}
+			if j.spec.Whole() && limits[j.team].Used == before {
+				// What a group waits for is not for those behind it.
+				limits[j.team].Used = before.Plus(j.need.Times(left))
+			}
 		}
 	}
 	return wants
@@ -467,7 +480,7 @@
 	lim := &limits[j.team]
 	room := lim.Room(j.need, left)
 	if room < left {
-		b.squeeze(j, j.need.Times(left).Minus(j.need.Times(room)), lim)
+		b.squeeze(j, lim.Lack(j.need.Times(left)))
 	}
 	if spec.Whole() && room < left {
 		room = 0 // it is dealt whole
@@ -611,7 +624,7 @@
 // the team's lower jobs are stopped, dealt ones that don't run yet, of equal jobs
 // too, stand back. Else what is dealt of an array would hold the limit against a
 // service for minutes.
-func (b *brain) squeeze(j *job, lack core.Res, lim *core.Limit) {
+func (b *brain) squeeze(j *job, lack core.Res) {
 	level := j.spec.Priority
 	var from []*rec
 	for _, r := range b.recs {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -107,6 +107,18 @@
 // Room is how many more tasks of size need the limit permits, at most n.
 func (l *Limit) Room(need Res, n int) int { return under(l.Max, l.Used, need, n) }
 
+// Lack is by how much need exceeds what the limit leaves.
+func (l *Limit) Lack(need Res) Res {
+	var out Res
+	if l.Max.CPU > 0 {
+		out.CPU = max(0, l.Used.CPU+need.CPU-l.Max.CPU)
+	}
+	if l.Max.GPU > 0 {
+		out.GPU = max(0, l.Used.GPU+need.GPU-l.Max.GPU)
+	}
+	return out
+}
+
 // OwnRoom is how many more fit into the guarantee, at most n.
 func (l *Limit) OwnRoom(need Res, n int) int {
 	if l.Guarantee == (Res{}) {
