--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -103,8 +103,7 @@
 	alloc  map[core.Task]alloc
 	raise  bool
 	raised time.Time
-	// wasOurs: it was taken over from this node's own former process or vacant
-	// key; old is how long a former owner may go on answering reports.
+	// old is how long a former owner may go on answering reports.
 	old time.Duration
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -9,14 +9,14 @@
 // Host is a machine as the leader sees it: what is free on it, and what could
 // be had by preemption.
 type Host struct {
-	ID              int32
-	Type, Zone      string
-	Spot            bool
-	Part            int
-	Size, Free      Res
-	Claims          []HeldCell // of tasks that run on it
-	Booting         bool
-	Touched, Placed bool // by planning: it is wanted
+	ID         int32
+	Type, Zone string
+	Spot       bool
+	Part       int
+	Size, Free Res
+	Claims     []HeldCell // of tasks that run on it
+	Booting    bool
+	Touched    bool // by planning: it is wanted
 }
 
 // HeldCell is a task's use of a host.
