--- a/internal/core/cell_test.go
+++ b/internal/core/cell_test.go
@@ -155,3 +155,58 @@
 		t.Fatalf("equal priority preempted: %v", equal.State)
 	}
 }
+
+// The stored states suffice: cells rebuilt from the bindings alone are those of
+// before, but for reservations, which are volatile and given up.
+func TestRebuildFromBindings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPart()
+		for m := range int32(3) {
+			p.SetMachine(m, Amount(8, 0, 16))
+		}
+		type binding struct {
+			group   *Group
+			machine int32
+		}
+		stored := map[Task]binding{}
+		var groups []*Group
+		for n := range int32(rapid.IntRange(1, 25).Draw(t, "groups")) {
+			g := group(rapid.IntRange(0, 3).Draw(t, "level"), float64(rapid.IntRange(1, 5).Draw(t, "cpu")), 2*n, 2*n+1)
+			p.Request(g, anyMachine)
+			groups = append(groups, g)
+			if rapid.Bool().Draw(t, "end one") {
+				if used := p.Tasks(); len(used) > 0 {
+					p.Gone(used[0])
+				}
+			}
+		}
+		for _, g := range groups {
+			for i, x := range g.Tasks {
+				if g.State == Allocated && p.CellOf(x) != nil {
+					stored[x] = binding{g, g.Machines[i]}
+				}
+			}
+		}
+		again := NewPart()
+		for x, b := range stored {
+			again.Adopt(x, b.machine, b.group.Need, b.group.Claim)
+		}
+		for m := range int32(3) {
+			again.SetMachine(m, Amount(8, 0, 16))
+		}
+		if err := again.Check(); err != nil {
+			t.Fatal(err)
+		}
+		if len(again.Tasks()) != len(p.Tasks()) {
+			t.Fatalf("%d cells are used, %d before", len(again.Tasks()), len(p.Tasks()))
+		}
+		for _, g := range groups {
+			p.Cancel(g) // what a crash does to Preempting groups
+		}
+		for m := range int32(3) {
+			if again.FreeOf(m) != p.FreeOf(m) {
+				t.Fatalf("machine %d: %v is free, %v before", m, again.FreeOf(m), p.FreeOf(m))
+			}
+		}
+	})
+}
