--- /dev/null
+++ b/internal/controller/bench_test.go
@@ -0,0 +1,142 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/wire"
+)
+
+// nowhere is a network without anybody.
+type nowhere struct{}
+
+func (nowhere) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// crowded returns the leader, who also owns part 0 of five, of a fleet of the
+// given size: half of it runs services, half an array's tasks, all of it is
+// full, and more arrays of several classes wait.
+func crowded(tb testing.TB, machines int) *brain {
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	cfg := &config.Platform{Name: "n0", Zone: "a", APIAddr: "10.0.0.1:80"}
+	const count = 5
+	for i := 1; i < count; i++ {
+		cfg.Siblings = append(cfg.Siblings, config.Sibling{Name: fmt.Sprintf("n%d", i), Addr: "10.0.0.2:80"})
+	}
+	cfg.External.State, cfg.External.Cloud = "state:1", "cloud:1"
+	s := &cfg.Settings
+	s.Count, s.Zones = count, []string{"a", "b"}
+	s.Teams = []config.Team{{Name: "red", CPUs: 800}, {Name: "blue"}}
+	s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = 4, 24, 54
+	s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 150, 60, 8, 32
+	s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
+	b := newBrain(ctx, cfg, config.DefaultOperator(), slog.New(slog.NewTextHandler(io.Discard, nil)), outside{state: nowhere{}, cloud: nowhere{}, workers: nowhere{}, send: func([]byte) {}})
+	b.loaded, b.freshAt, b.startedAt = true, b.now, b.now.Add(-time.Hour)
+	b.putTypes(testTypes)
+	stamp := uint64(10)
+	for n := range count {
+		stamp++
+		node := fmt.Sprintf("n%d", n)
+		b.put(partKey(n), mustJSON(holder{node, "x"}), stamp)
+		b.siblingsFor(node, n)
+	}
+	p := b.parts[0]
+	b.rights[p.key].stamp = 11
+	b.partGained(p, 11)
+	p.active, p.since = true, b.now.Add(-time.Hour)
+	b.leaderGained(stamp)
+	b.lead.active, b.lead.since = true, b.now.Add(-time.Hour)
+	var all []*machine
+	for i := range machines {
+		name := fmt.Sprintf("host-%06d", i)
+		m := b.machine(name)
+		m.typ, m.zone, m.addr = "large", "a", "10.1.0.1:1"
+		m.session, m.seq, m.heard, m.answered, m.probeOK = 1, 1, b.now, b.now, b.now
+		b.sizeMachine(m)
+		all = append(all, m)
+		if part := b.home(m); part != 0 {
+			st := b.siblings[fmt.Sprintf("n%d", part)].status
+			st.Machines = append(st.Machines, mesh.Machine{Name: name, Addr: m.addr, Type: m.typ, Zone: m.zone, Session: 1, Flags: mesh.Up})
+		}
+	}
+	id := 0
+	job := func(kind, class, team string, priority, tasks int, cpus float64) string {
+		id++
+		stamp++
+		j := &wire.Job{ID: fmt.Sprintf("wk-%06d", id), Class: class, Team: team, Service: kind == wire.Service, Priority: priority, Tasks: tasks,
+			CPUs: cpus, RAM: 2, Image: "img", EstimateS: 40, DeadlineS: 200}
+		b.put(jobKey(j.ID), mustJSON(jobValue{At: b.now.UnixMilli(), Job: j}), stamp)
+		return j.ID
+	}
+	perPart := map[int][]entryValue{}
+	array := job(wire.Array, "clean", "blue", 1, machines*4, 2)
+	num := int32(0)
+	for i, m := range all {
+		if i%2 == 0 {
+			for range 8 {
+				stamp++
+				b.put(groupKey(job(wire.Service, "feed", "red", 2, 1, 2), 0),
+					mustJSON(groupValue{Part: b.home(m), Own: true, Tasks: []entryValue{{Attempt: 1, Machine: m.name, Session: 1}}}), stamp)
+			}
+			continue
+		}
+		for range 8 {
+			perPart[b.home(m)] = append(perPart[b.home(m)], entryValue{Num: num, Attempt: 1, Machine: m.name, Session: 1})
+			num++
+		}
+	}
+	k := 0
+	for part, tasks := range perPart {
+		for len(tasks) > 0 {
+			n := min(len(tasks), b.maxRec)
+			stamp++
+			b.put(groupKey(array, k), mustJSON(groupValue{Part: part, Tasks: tasks[:n]}), stamp)
+			tasks, k = tasks[n:], k+1
+		}
+	}
+	for i := range machines / 10 {
+		job(wire.Array, "clean", []string{"red", "blue"}[i%2], 1, 40, []float64{1, 2}[i/2%2])
+	}
+	b.cursor = stamp
+	return b
+}
+
+// siblingsFor has a sibling vouch for a part.
+func (b *brain) siblingsFor(node string, part int) {
+	if x := b.siblings[node]; x != nil {
+		x.status, x.at, x.since = &mesh.Status{Node: node, Fresh: true, Able: true, Parts: []uint64{uint64(part)}}, b.now.Add(time.Hour), b.now
+	}
+}
+
+func BenchmarkLeadStep(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := crowded(b, n)
+			for b.Loop() {
+				c.lead.writes = 0
+				c.leadStep()
+			}
+		})
+	}
+}
+
+func BenchmarkStepPart(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := crowded(b, n)
+			for b.Loop() {
+				c.stepParts()
+			}
+		})
+	}
+}
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -171,6 +171,7 @@
 }
 
 func (b *brain) events(ev *wire.Events) {
+	defer b.metrics.spend(dReplica, time.Now())
 	if ev.Revision <= b.cursor {
 		return
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -230,6 +230,7 @@
 	if !b.leads() {
 		return
 	}
+	defer b.metrics.spend(dLead, time.Now())
 	b.finishJobs()
 	b.noteVouching()
 	if b.lead.writes > 0 {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"eiderhitch/internal/store"
 )
 
 type counter int
@@ -38,11 +40,26 @@
 
 var latencyNames = [latencies]string{"event", "submit", "commit", "bind"}
 
+// duty is a kind of work of the actor.
+type duty int
+
+const (
+	dReport  duty = iota // workers' reports
+	dReplica             // changes of the stored records
+	dLead                // the leader's decisions
+	dParts               // the parts' decisions
+	dStatus              // telling the siblings
+	duties
+)
+
+var dutyNames = [duties]string{"report", "replica", "lead", "parts", "status"}
+
 // metrics counts cheaply; the totals since the last line are logged at intervals.
 type metrics struct {
 	mu     sync.Mutex
 	counts [counters]int64
 	lat    [latencies]*hdrhistogram.Histogram
+	spent  [duties]time.Duration
 }
 
 const longest = 10 * time.Minute
@@ -67,7 +84,14 @@
 	m.mu.Unlock()
 }
 
-func (m *metrics) log(log *slog.Logger, jobs, machines int) {
+// spend adds the time since begun to a duty.
+func (m *metrics) spend(d duty, begun time.Time) {
+	m.mu.Lock()
+	m.spent[d] += time.Since(begun)
+	m.mu.Unlock()
+}
+
+func (m *metrics) log(log *slog.Logger, jobs, machines int, state store.Stats) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	args := []any{"jobs", jobs, "machines", machines}
@@ -80,6 +104,11 @@
 		}
 		h.Reset()
 	}
-	m.counts = [counters]int64{}
+	for i, t := range m.spent {
+		args = append(args, dutyNames[i]+"_ms", t.Milliseconds())
+	}
+	args = append(args, "state_watches", state.Watches, "state_txns", state.Txns, "state_changes", state.Changes,
+		"state_renewals", state.Renewals, "state_refused", state.Refused)
+	m.counts, m.spent = [counters]int64{}, [duties]time.Duration{}
 	log.Info("counters", args...)
 }
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -15,6 +15,7 @@
 
 // stepParts takes the decisions of all parts that are ours.
 func (b *brain) stepParts() {
+	defer b.metrics.spend(dParts, time.Now())
 	for _, p := range b.parts {
 		if p.active && b.fresh(b.op.RightTTL) {
 			b.stepPart(p)
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -161,12 +161,14 @@
 		}
 		if !b.now.Before(nextStatus) {
 			nextStatus = b.now.Add(statusEvery)
+			begun := time.Now()
 			b.probeSilent()
 			b.send(mesh.AppendStatus(nil, b.status()))
+			b.metrics.spend(dStatus, begun)
 		}
 		if b.now.After(nextMetrics) {
 			nextMetrics = b.now.Add(metricsEvery)
-			b.metrics.log(b.log, len(b.jobs), len(b.machines))
+			b.metrics.log(b.log, len(b.jobs), len(b.machines), b.st.Stats())
 		}
 	}
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"eiderhitch/internal/wire"
@@ -35,6 +36,16 @@
 type Client struct {
 	base string
 	http *http.Client
+
+	watches, txns, changes, renewals, refused atomic.Int64
+}
+
+// Stats are numbers of calls since the last Stats.
+type Stats struct{ Watches, Txns, Changes, Renewals, Refused int64 }
+
+// Stats tells how often the state service was called, and starts again at 0.
+func (c *Client) Stats() Stats {
+	return Stats{c.watches.Swap(0), c.txns.Swap(0), c.changes.Swap(0), c.renewals.Swap(0), c.refused.Swap(0)}
 }
 
 // NewClient returns a client that reaches the state service at addr by rt.
@@ -68,6 +79,7 @@
 	}
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		c.refused.Add(1)
 		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 	case http.StatusOK, http.StatusConflict:
 		if out != nil {
@@ -87,6 +99,8 @@
 	if t.If == nil {
 		t.If = []wire.Condition{}
 	}
+	c.txns.Add(1)
+	c.changes.Add(int64(len(t.Then)))
 	var out wire.TxnAnswer
 	status, err := c.call(ctx, callTimeout, http.MethodPost, "/txn", t, &out)
 	switch {
@@ -135,6 +149,7 @@
 func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (*wire.Events, error) {
 	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)},
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	c.watches.Add(1)
 	var out wire.Events
 	status, err := c.call(ctx, wait+callTimeout, http.MethodGet, "/watch?"+q.Encode(), nil, &out)
 	if err != nil {
@@ -164,6 +179,7 @@
 
 // Renew extends a lease; ErrNoLease means that it has ended.
 func (c *Client) Renew(ctx context.Context, id uint64) error {
+	c.renewals.Add(1)
 	status, err := c.call(ctx, callTimeout, http.MethodPost, fmt.Sprintf("/leases/%d/extend", id), struct{}{}, nil)
 	if err != nil {
 		return err
