Changes a task, contested writes and gone markers no longer swamp the leader

Cause: counters by duty showed the leader storing records in 1 to 4 s while others took 8 ms. Gone markers were deleted again at each tick until the first delete was stored, conflicts had whole transactions sent again, caps of a team at its limit changed for each ended task, and records held few tasks. Ruled out: the actor's time (2% of the clock) and the limit of requests.

--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -72,3 +73,60 @@
 		}
 	}
 }
+
+// Markers of machines that are gone are deleted in one transaction, not asked for
+// again at each tick until the first is stored: with a hundred of them that took
+// up all changes that the state service allows, and dealing waited for seconds.
+func TestGoneMarkersAreDeletedOnce(t *testing.T) {
+	b := lone(t)
+	b.leaderGained(5)
+	b.lead.active = true
+	for i := range 3 {
+		b.gone[fmt.Sprintf("host-%d", i)] = b.now.Add(-time.Hour)
+	}
+	b.clearGone()
+	queued := b.wr.Backlog()
+	for range 20 {
+		b.clearGone()
+	}
+	if queued == 0 || b.wr.Backlog() != queued {
+		t.Errorf("the backlog is %v after one call, %v after many", queued, b.wr.Backlog())
+	}
+}
+
+// A team at its limit has room for one more task many times a second; the cap of
+// a record that stood back is raised for several at once, not for each.
+func TestCapsRiseInSteps(t *testing.T) {
+	b := lone(t)
+	b.leaderGained(5)
+	b.lead.active = true
+	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 9, CPUs: 1, Team: "t", NoDeadline: true}}), 6)
+	g := groupValue{Cap: 1}
+	for i := range int32(9) {
+		g.Tasks = append(g.Tasks, entryValue{Num: i})
+	}
+	key := groupKey("wk-1", 0)
+	b.put(key, raw(t, g), 7)
+	r := b.recByKey[key]
+	changes, stamp := 0, uint64(8)
+	for free := 1; free <= 60; free++ { // a task of the team ends every 100 ms
+		lim := core.Limit{Max: core.Amount(float64(min(free, 9)), 0, 0)}
+		lim.Used = r.job.need.Times(r.counts())
+		before := r.cappedAt
+		b.uncap(r.job, &lim)
+		if r.cappedAt != before { // stored at once
+			changes++
+			stamp++
+			g.Cap = min(free, 9) + 1
+			if g.Cap > 9 {
+				g.Cap = 0
+			}
+			r.writing = false
+			b.put(key, raw(t, g), stamp)
+		}
+		b.now = b.now.Add(100 * time.Millisecond)
+	}
+	if changes == 0 || changes > 3 || r.may() != 9 {
+		t.Errorf("%d changes, %d of 9 may run", changes, r.may())
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -39,6 +39,7 @@
 	rentals   int
 	listAt    time.Time
 	listBusy  bool
+	clearing  bool // of gone markers
 	listed    bool // the list has been read since the lead was taken
 	typesAt   time.Time
 }
@@ -274,6 +275,8 @@
 // finishJobs ends jobs whose tasks are all done and clears up behind final ones.
 func (b *brain) finishJobs() {
 	budget := 8
+	// What is over can wait while the state service has more to do.
+	clear := b.wr.Backlog() < time.Second
 	for _, j := range b.jobs {
 		if budget == 0 {
 			return
@@ -297,7 +300,7 @@
 			continue
 		}
 		for _, r := range j.recs {
-			if budget == 0 || r.writing || r.bound() > 0 {
+			if budget == 0 || !clear || r.writing || r.bound() > 0 {
 				continue
 			}
 			budget--
@@ -305,7 +308,14 @@
 			b.write(&store.Unit{
 				If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: r.key, Version: r.stamp}},
 				Then: []wire.Change{{Delete: r.key}},
-			}, func(error) { r.writing = false; b.retire(j) })
+			}, func(err error) {
+				if err != nil { // its owner wrote it meanwhile: not before that is known
+					b.readThen(func() { r.writing = false })
+					return
+				}
+				r.writing = false
+				b.retire(j)
+			})
 		}
 	}
 }
@@ -436,18 +446,32 @@
 // dealEvery spaces the dealings of one array: it is dealt out in few records.
 const dealEvery = time.Second
 
+// leastDealt is how many tasks of an array a part is dealt at least, if there
+// are that many: each record costs changes of its own, to deal it, to bind and
+// to end its tasks and to clear it up, and changes are what the state service
+// allows least of.
+const leastDealt = 24
+
+// turnaround is about how long a cell stays empty when its next task has not
+// been dealt yet: the end is stored, the leader deals, the binding is stored.
+func (b *brain) turnaround() time.Duration {
+	return b.gatherEnds() + 2*min(b.wr.Backlog(), 5*time.Second) + time.Second
+}
+
 // dealAhead is how many tasks each part may be dealt beyond its free room, so
-// that an ending task's cell is taken again without asking the leader: about
-// what ends between two dealings.
+// that an ending task's cell is taken again without asking the leader: what
+// ends within twice the time that asking would take.
 func (b *brain) dealAhead(lost map[*rec]int) []int {
-	out := make([]int, len(b.parts))
+	ahead := make([]float64, len(b.parts))
+	t := 2 * b.turnaround().Seconds()
 	for _, r := range b.recs {
-		if r != nil && r.job.spec != nil && !r.job.spec.Whole() && r.part >= 0 && r.part < len(out) {
-			out[r.part] += r.bound()
+		if r != nil && r.job.spec != nil && !r.job.spec.Whole() && r.part >= 0 && r.part < len(ahead) {
+			ahead[r.part] += float64(r.bound()) * min(0.5, t/max(r.job.spec.EstimateS, 1))
 		}
 	}
+	out := make([]int, len(b.parts))
 	for p := range out {
-		out[p] = (out[p] + 9) / 10
+		out[p] = int(math.Ceil(ahead[p]))
 	}
 	for r, n := range lost {
 		if r.part >= 0 && r.part < len(out) {
@@ -510,6 +534,9 @@
 			chunks = append(chunks, g)
 		}
 	}
+	// Where a team's limit is short, what is dealt but can't run yet would hold
+	// the limit against others of the team, and would have to be held back again.
+	tight := lim.Room(j.need, left+leastDealt*len(b.parts)) < left+leastDealt*len(b.parts)
 	got := 0
 	for _, zone := range b.zonesFor(j, hosts) {
 		n := room - got
@@ -541,7 +568,7 @@
 			perPart[h.Part] += k
 		}
 		for p := range perPart {
-			if left := n - sum(perPart); left > 0 && b.lead.ahead[p] > 0 && b.partCan(hosts, p, can) {
+			if left := n - sum(perPart); left > 0 && !tight && b.lead.ahead[p] > 0 && b.partCan(hosts, p, can) {
 				k := min(left, b.lead.ahead[p])
 				b.lead.ahead[p] -= k
 				perPart[p] += k
@@ -554,6 +581,14 @@
 			}
 			perPart[h.Part]++
 		}
+		for p, k := range perPart {
+			// Few large records rather than many small ones; what is dealt too
+			// much now is dealt less ahead later.
+			if more := min(leastDealt-k, n-sum(perPart)); k > 0 && more > 0 && !tight {
+				b.lead.ahead[p] -= more
+				perPart[p] += more
+			}
+		}
 		for part, k := range perPart {
 			k = min(k, room-got)
 			if k > 0 {
@@ -576,7 +611,7 @@
 	// tasks are dealt already is known by their number alone, so a gap, left by
 	// one write that failed, would have a later dealing hand out tasks twice.
 	term, epoch := b.lead.term, b.lead.epoch
-	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	u := &store.Unit{Early: true, If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
 	// Records whose tasks are all done are used again, so that a large array
 	// leaves few behind. None is deleted while its job lives: a dealing that is
 	// applied minutes late must not find its key absent once more.
@@ -612,6 +647,7 @@
 			}
 			b.leadWrote(epoch, err)
 		})
+		b.metrics.count(cDealt, len(chunks))
 		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
 	}
 	w := want{job: spec, need: j.need, count: room - got, service: spec.Whole(), windowS: b.window(j), slackS: b.slack(j)}
@@ -650,7 +686,7 @@
 			if running && r.job.spec.Priority < level {
 				least = 0
 			}
-			if !running && r.job.spec.Priority == level && urgent(j, r.job) >= 0 {
+			if !running && r.job.spec.Priority == level && (urgent(j, r.job) >= 0 || b.now.Sub(r.cappedAt) < b.capEvery()) {
 				continue
 			}
 			k := 0
@@ -665,10 +701,15 @@
 	}
 }
 
+// capEvery spaces the changes of one record's cap that are not for more urgent
+// work: a team at its limit has a task end, and so room for one more, many times a
+// second, and a change for each of them would take up the state service's limit.
+func (b *brain) capEvery() time.Duration { return 2*time.Second + b.turnaround() }
+
 // uncap lets tasks run again that had to stand back, as the limit permits.
 func (b *brain) uncap(j *job, lim *core.Limit) {
 	for _, r := range j.recs {
-		if r.cap == 0 || r.writing || r.may() == len(r.entries) {
+		if r.cap == 0 || r.writing || r.may() == len(r.entries) || b.now.Sub(r.cappedAt) < b.capEvery() {
 			continue
 		}
 		if k := lim.Room(j.need, len(r.entries)-r.counts()); k > 0 {
@@ -685,9 +726,10 @@
 		changed.cap = 0
 	}
 	epoch := b.lead.epoch
-	r.writing = true
+	r.writing, r.cappedAt = true, b.now
+	b.metrics.count(cCapped, 1)
 	b.lead.writes++
-	b.write(&store.Unit{
+	b.write(&store.Unit{Early: true, Contested: true,
 		If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: r.key, Version: r.stamp}},
 		Then: []wire.Change{{Put: r.key, Value: changed.value(r.done, r.entries)}},
 	}, func(err error) { r.writing = false; b.leadWrote(epoch, err) })
@@ -875,7 +917,7 @@
 	core.Take(hosts, in, r.job.need, len(move))
 	moved := *r
 	moved.part = best
-	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
+	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
 	if len(stay) == 0 {
 		u.Then = []wire.Change{{Put: r.key, Value: moved.value(r.done, move)}}
 	} else {
@@ -883,6 +925,7 @@
 		u.If = append(u.If, wire.Condition{Key: key})
 		u.Then = []wire.Change{{Put: r.key, Value: r.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
 	}
+	b.metrics.count(cMoved, 1)
 	b.log.Debug("tasks move to another part", "job", r.job.id, "tasks", len(move), "part", best)
 	b.lead.writes++
 	epoch := b.lead.epoch
@@ -1402,17 +1445,37 @@
 			b.lead.listBusy = false
 		}
 	}
-	// Gone markers have served once nothing is bound to the machine any more.
-	budget := 4
+	b.clearGone()
+}
+
+// clearGone deletes markers of machines that are gone, once nothing is bound to
+// the machine any more and no list can show it. One transaction at a time: asked
+// for again at each tick until the first was stored, a hundred markers took up
+// all that the state service allows.
+func (b *brain) clearGone() {
+	if b.lead.clearing || b.wr.Backlog() > time.Second {
+		return
+	}
+	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}}}
+	keep := 2*time.Minute + 4*config.Seconds(b.cfg.Settings.Cloud.ListLagS)
 	for n, at := range b.gone {
-		if m := b.machines[n]; budget > 0 && b.now.Sub(at) > 2*time.Minute+4*config.Seconds(b.cfg.Settings.Cloud.ListLagS) && (m == nil || len(m.bound) == 0) {
-			budget--
-			b.write(&store.Unit{
-				If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}},
-				Then: []wire.Change{{Delete: preGone + n}},
-			}, func(error) {})
+		if len(u.Then) == b.cfg.Settings.State.TxnOps/4 {
+			break
+		}
+		if m := b.machines[n]; b.now.Sub(at) > keep && (m == nil || len(m.bound) == 0) {
+			u.Then = append(u.Then, wire.Change{Delete: preGone + n})
 		}
 	}
+	if len(u.Then) == 0 {
+		return
+	}
+	epoch := b.lead.epoch
+	b.lead.clearing = true
+	b.write(u, func(error) {
+		if b.lead.epoch == epoch {
+			b.lead.clearing = false
+		}
+	})
 }
 
 func (b *brain) fetchTypes() {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -23,10 +23,14 @@
 	cDone
 	cLost
 	cEvicted
+	cDealt  // records dealt
+	cMoved  // records moved to another part
+	cCapped // records held back, or let go, for a team's limit
+	cStored // records rewritten by their owner
 	counters
 )
 
-var counterNames = [counters]string{"accepted", "refused", "unavailable", "polls", "reports", "redirected", "bound", "done", "lost", "evicting"}
+var counterNames = [counters]string{"accepted", "refused", "unavailable", "polls", "reports", "redirected", "bound", "done", "lost", "evicting", "dealt", "moved", "capped", "stored"}
 
 type latency int
 
@@ -108,7 +112,7 @@
 		args = append(args, dutyNames[i]+"_ms", t.Milliseconds())
 	}
 	args = append(args, "state_watches", state.Watches, "state_txns", state.Txns, "state_changes", state.Changes,
-		"state_renewals", state.Renewals, "state_refused", state.Refused)
+		"state_renewals", state.Renewals, "state_refused", state.Refused, "state_conflicts", state.Conflicts)
 	m.counts, m.spent = [counters]int64{}, [duties]time.Duration{}
 	log.Info("counters", args...)
 }
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -213,10 +213,20 @@
 		(pinned == "" || pinned == zone) && (!spot || j.Spot)
 }
 
-// gatherEnds is how long ended attempts of a record may wait for others. It is
-// well below the 3 s within which a done job must be known as done, and a
-// record's last task does not wait at all.
-const gatherEnds = 500 * time.Millisecond
+// leastGather and mostGather bound how long ended attempts of a record may wait
+// for others. The most is below the 3 s within which a done job must be known as
+// done, and a record's last task does not wait at all.
+const (
+	leastGather = 500 * time.Millisecond
+	mostGather  = 2500 * time.Millisecond
+)
+
+// gatherEnds is how long ended attempts of a record wait for others now: writes
+// are scarce, and the more of them wait, the more one should carry. Their cells
+// are free meanwhile.
+func (b *brain) gatherEnds() time.Duration {
+	return min(leastGather+2*b.wr.Backlog(), mostGather)
+}
 
 // store writes what has changed of a record, if anything.
 func (b *brain) store(p *part, r *rec) {
@@ -264,7 +274,7 @@
 		if r.endedAt.IsZero() {
 			r.endedAt = b.now
 		}
-		if b.now.Sub(r.endedAt) < gatherEnds {
+		if b.now.Sub(r.endedAt) < b.gatherEnds() {
 			return
 		}
 	}
@@ -284,6 +294,7 @@
 		}
 	}
 	r.writing = true
+	b.metrics.count(cStored, 1)
 	term := p.term
 	b.write(u, func(err error) {
 		r.writing = false
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -140,20 +140,21 @@
 }
 
 type rec struct {
-	key     string
-	idx     int32
-	k       int
-	job     *job
-	stamp   uint64
-	part    int
-	zone    string
-	own     bool
-	done    int
-	cap     int // see groupValue
-	entries []entry
-	writing bool
-	endedAt time.Time // since when ended attempts wait to be stored
-	since   time.Time // when it came to its part
+	key      string
+	idx      int32
+	k        int
+	job      *job
+	stamp    uint64
+	part     int
+	zone     string
+	own      bool
+	done     int
+	cap      int // see groupValue
+	entries  []entry
+	writing  bool
+	endedAt  time.Time // since when ended attempts wait to be stored
+	since    time.Time // when it came to its part
+	cappedAt time.Time // when the leader last changed its cap
 }
 
 func (r *rec) task(num int32) core.Task { return core.Task{Rec: r.idx, Num: num} }
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -45,7 +45,7 @@
 	b := &brain{
 		cfg: cfg, op: op, log: log.With("node", cfg.Name), boot: fmt.Sprintf("%016x", rand.Uint64()), ctx: ctx,
 		inbox: make(chan func(), inboxSize), cloudQ: make(chan func(), cloudQueue),
-		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS),
+		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS, s.Count),
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
@@ -176,7 +176,7 @@
 // follow keeps the replica current.
 func (b *brain) follow() {
 	s := &b.cfg.Settings
-	pause := max(time.Duration(float64(time.Second)*float64(s.Count)/(s.State.RPS*0.25)), 50*time.Millisecond)
+	pause := max(time.Duration(float64(time.Second)*float64(s.Count)/(s.State.RPS*0.25)), 100*time.Millisecond)
 	var cursor uint64
 	loaded := false
 	for b.ctx.Err() == nil {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -62,10 +62,11 @@
 }
 
 // readGap spaces reads so that all controllers together use a quarter of the
-// state service's limit for them.
+// state service's limit for them, and each no more than it has use for: those
+// who ask wait up to 2 s.
 func (b *brain) readGap() time.Duration {
 	s := &b.cfg.Settings
-	return time.Duration(float64(time.Second) * float64(s.Count) / (s.State.RPS * 0.25))
+	return max(time.Duration(float64(time.Second)*float64(s.Count)/(s.State.RPS*0.25)), 200*time.Millisecond)
 }
 
 // catchUp waits for a read of the replica that begins after now.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -41,6 +41,15 @@
 	MaxOps, MaxValue int
 	// Excess counts transactions beyond the limits.
 	Excess int
+	// WriteRPS limits the changes a second of all callers together, with bursts
+	// of one second's worth; 0: no limit.
+	WriteRPS float64
+	// Refused counts the transactions that were too much, Taken the others.
+	Refused, Taken int
+	// Largest is the most changes that a transaction had.
+	Largest int
+	bucket  float64
+	filled  time.Time
 }
 
 // NewState returns an empty state service.
@@ -192,6 +201,19 @@
 		reply(w, http.StatusBadRequest, struct{}{})
 		return
 	}
+	s.Largest = max(s.Largest, len(t.Then))
+	if s.WriteRPS > 0 {
+		now := time.Now()
+		s.bucket = min(s.WriteRPS, s.bucket+now.Sub(s.filled).Seconds()*s.WriteRPS)
+		s.filled = now
+		if s.bucket < float64(len(t.Then)) {
+			s.Refused++
+			reply(w, http.StatusTooManyRequests, struct{}{})
+			return
+		}
+		s.bucket -= float64(len(t.Then))
+		s.Taken++
+	}
 	for _, c := range t.Then {
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
 			reply(w, http.StatusBadRequest, map[string]string{"error": "no such lease"})
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -25,6 +25,9 @@
 	ErrTooOld   = errors.New("state service: revision too old")
 	// ErrRefused: surely not executed (429 and 503).
 	ErrRefused = errors.New("state service: refused")
+	// ErrTooMuch is an ErrRefused: the limits of all controllers together are
+	// reached.
+	ErrTooMuch = fmt.Errorf("%w: too much", ErrRefused)
 	// ErrUnknown: it may have been executed, or may be executed later.
 	ErrUnknown = errors.New("state service: no answer")
 )
@@ -37,15 +40,15 @@
 	base string
 	http *http.Client
 
-	watches, txns, changes, renewals, refused atomic.Int64
+	watches, txns, changes, renewals, refused, conflicts atomic.Int64
 }
 
 // Stats are numbers of calls since the last Stats.
-type Stats struct{ Watches, Txns, Changes, Renewals, Refused int64 }
+type Stats struct{ Watches, Txns, Changes, Renewals, Refused, Conflicts int64 }
 
 // Stats tells how often the state service was called, and starts again at 0.
 func (c *Client) Stats() Stats {
-	return Stats{c.watches.Swap(0), c.txns.Swap(0), c.changes.Swap(0), c.renewals.Swap(0), c.refused.Swap(0)}
+	return Stats{c.watches.Swap(0), c.txns.Swap(0), c.changes.Swap(0), c.renewals.Swap(0), c.refused.Swap(0), c.conflicts.Swap(0)}
 }
 
 // NewClient returns a client that reaches the state service at addr by rt.
@@ -78,7 +81,10 @@
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	switch resp.StatusCode {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		c.refused.Add(1)
+		return resp.StatusCode, ErrTooMuch
+	case http.StatusServiceUnavailable:
 		c.refused.Add(1)
 		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 	case http.StatusOK, http.StatusConflict:
@@ -109,6 +115,7 @@
 	case status == http.StatusOK:
 		return &out, nil
 	case status == http.StatusConflict:
+		c.conflicts.Add(1)
 		return &out, ErrConflict
 	case status == http.StatusBadRequest:
 		return nil, ErrNoLease
--- /dev/null
+++ b/internal/store/pace.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// pace is how fast one controller writes. The state service's limit is for all
+// controllers together, and they need very different shares of it: each goes
+// faster while nothing is refused, and slower when the service says that it is
+// too much. A fixed share would leave the leader short while others need little.
+type pace struct {
+	limit       *rate.Limiter
+	least, most rate.Limit
+
+	mu     sync.Mutex
+	slowed time.Time
+}
+
+const (
+	paceUp    = 0.02 // of the whole limit, for each transaction that is taken
+	paceDown  = 0.75 // factor when one is too much
+	paceEvery = 500 * time.Millisecond
+)
+
+func newPace(writeRPS float64, sharers, ops int) *pace {
+	w := rate.Limit(writeRPS)
+	return &pace{limit: rate.NewLimiter(w*0.7, max(ops, int(writeRPS*0.5))),
+		least: w * 0.5 / rate.Limit(max(sharers, 1)), most: w * 0.9}
+}
+
+// rate is the present one, in changes a second.
+func (p *pace) rate() float64 { return float64(p.limit.Limit()) }
+
+// wait until n changes may be sent. Those of users don't wait, but are counted.
+func (p *pace) wait(ctx context.Context, n int, urgent bool) error {
+	n = min(n, p.limit.Burst())
+	if urgent {
+		p.limit.ReserveN(time.Now(), n)
+		return nil
+	}
+	return p.limit.WaitN(ctx, n)
+}
+
+// answered learns from the result of a transaction.
+func (p *pace) answered(now time.Time, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.limit.Limit()
+	switch {
+	case errors.Is(err, ErrTooMuch):
+		if now.Sub(p.slowed) < paceEvery {
+			return // several in flight were refused for the same reason
+		}
+		p.slowed = now
+		p.limit.SetLimitAt(now, max(r*paceDown, p.least))
+	case err == nil:
+		p.limit.SetLimitAt(now, min(r+paceUp*p.most, p.most))
+	}
+}
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -5,10 +5,9 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"eiderhitch/internal/wire"
 )
 
@@ -18,6 +17,12 @@
 	Then []wire.Change
 	// Urgent units (submissions, cancellations) go first.
 	Urgent bool
+	// Early units go before usual ones: many others' work waits for them.
+	Early bool
+	// Contested units may well find a condition failed, since others write the
+	// same keys. They share a transaction with few: what a failed one carries is
+	// counted against the limit, and all the others in it must be sent again.
+	Contested bool
 	// Expires: if not zero, the unit is given up after this time.
 	Expires time.Time
 	// Done is called once, with the revision on success, ErrConflict when a
@@ -31,6 +36,9 @@
 // maxTxnBytes leaves room below the 64 KiB that a transaction may have.
 const maxTxnBytes = 56 << 10
 
+// maxContested is how many changes a transaction with contested ones may have.
+const maxContested = 4
+
 // urgentTries is how often an urgent unit is offered to a refusing service.
 const urgentTries = 3
 
@@ -38,17 +46,30 @@
 type Writer struct {
 	c       *Client
 	ops     int
-	limit   *rate.Limiter
+	pace    *pace
 	urgent  chan *Unit
+	early   chan *Unit
 	usual   chan *Unit
 	workers int
+	backlog atomic.Int64 // changes submitted whose outcome is not known
+}
+
+// NewWriter returns a writer for transactions of at most ops changes. The state
+// service's limit of writeRPS changes a second is for all sharers together.
+func NewWriter(c *Client, ops int, writeRPS float64, sharers int) *Writer {
+	return &Writer{c: c, ops: ops, pace: newPace(writeRPS, sharers, ops),
+		urgent: make(chan *Unit, 1024), early: make(chan *Unit, 1024), usual: make(chan *Unit, 4096), workers: 4}
+}
+
+// Backlog is about how long it takes until what is queued is stored.
+func (w *Writer) Backlog() time.Duration {
+	return time.Duration(float64(w.backlog.Load()) / w.pace.rate() * float64(time.Second))
 }
 
-// NewWriter returns a writer for transactions of at most ops changes, using at
-// most writeRPS changes a second.
-func NewWriter(c *Client, ops int, writeRPS float64) *Writer {
-	return &Writer{c: c, ops: ops, limit: rate.NewLimiter(rate.Limit(writeRPS*0.7), max(ops, int(writeRPS*0.5))),
-		urgent: make(chan *Unit, 1024), usual: make(chan *Unit, 4096), workers: 4}
+// settle reports a unit's outcome.
+func (w *Writer) settle(u *Unit, revision uint64, err error) {
+	w.backlog.Add(-int64(len(u.Then)))
+	u.Done(revision, err)
 }
 
 // Submit queues a unit; false means that the queue is full.
@@ -60,13 +81,18 @@
 		u.size += len(u.If[i].Key) + 40
 	}
 	q := w.usual
-	if u.Urgent {
+	switch {
+	case u.Urgent:
 		q = w.urgent
+	case u.Early:
+		q = w.early
 	}
+	w.backlog.Add(int64(len(u.Then)))
 	select {
 	case q <- u:
 		return true
 	default:
+		w.backlog.Add(-int64(len(u.Then)))
 		return false
 	}
 }
@@ -75,15 +101,15 @@
 func (w *Writer) Run(ctx context.Context) {
 	done := make(chan struct{})
 	for i := range w.workers {
-		usual := w.usual
+		early, usual := w.early, w.usual
 		if i == 0 {
 			// One worker is for users alone: the others may all be held up by
 			// transactions that the service refuses.
-			usual = nil
+			early, usual = nil, nil
 		}
 		go func() {
 			defer func() { done <- struct{}{} }()
-			w.work(ctx, usual)
+			w.work(ctx, early, usual)
 		}()
 	}
 	for range w.workers {
@@ -91,10 +117,10 @@
 	}
 }
 
-func (w *Writer) work(ctx context.Context, usual <-chan *Unit) {
+func (w *Writer) work(ctx context.Context, early, usual <-chan *Unit) {
 	var carry *Unit
 	for {
-		batch := w.gather(ctx, usual, carry)
+		batch := w.gather(ctx, early, usual, carry)
 		carry = nil
 		if batch == nil {
 			return
@@ -107,7 +133,7 @@
 }
 
 func fits(batch []*Unit, ops int) bool {
-	n, conds, size := 0, 0, 0
+	n, conds, size, contested := 0, 0, 0, false
 	// Units that touch a key which another unit of the batch writes must not
 	// share a transaction: their conditions would both hold, and "cancelled"
 	// and "done" of one job could both be granted.
@@ -129,50 +155,69 @@
 		n += len(u.Then)
 		conds += len(u.If)
 		size += u.size
+		contested = contested || u.Contested
+	}
+	if contested {
+		ops = min(ops, maxContested)
 	}
 	return n <= ops && conds <= 3*ops && size <= maxTxnBytes
 }
 
 // gather waits for a unit and takes those that are queued behind it, up to one
 // more than fits.
-func (w *Writer) gather(ctx context.Context, usual <-chan *Unit, carry *Unit) []*Unit {
-	var batch []*Unit
-	if carry != nil {
-		batch = append(batch, carry)
-	} else {
+func (w *Writer) gather(ctx context.Context, early, usual <-chan *Unit, carry *Unit) []*Unit {
+	first := carry
+	if first == nil {
+		first = w.next(early, usual)
+	}
+	if first == nil {
 		select {
-		case u := <-w.urgent:
-			batch = append(batch, u)
-		default:
-			select {
-			case u := <-w.urgent:
-				batch = append(batch, u)
-			case u := <-usual:
-				batch = append(batch, u)
-			case <-ctx.Done():
-				return nil
-			}
+		case first = <-w.urgent:
+		case first = <-early:
+		case first = <-usual:
+		case <-ctx.Done():
+			return nil
 		}
 	}
+	batch := []*Unit{first}
 	for fits(batch, w.ops) {
-		if batch[0].Urgent {
+		var u *Unit
+		if first.Urgent {
 			select {
-			case u := <-w.urgent:
-				batch = append(batch, u)
-				continue
+			case u = <-w.urgent:
 			default:
 			}
+		} else {
+			u = poll(early, usual)
+		}
+		if u == nil {
 			break
 		}
+		batch = append(batch, u)
+	}
+	return batch
+}
+
+// next is the unit whose turn it is, or nil.
+func (w *Writer) next(early, usual <-chan *Unit) *Unit {
+	select {
+	case u := <-w.urgent:
+		return u
+	default:
+		return poll(early, usual)
+	}
+}
+
+// poll takes a unit from the first queue that has one.
+func poll(queues ...<-chan *Unit) *Unit {
+	for _, q := range queues {
 		select {
-		case u := <-usual:
-			batch = append(batch, u)
-			continue
+		case u := <-q:
+			return u
 		default:
 		}
-		break
 	}
-	return batch
+	return nil
 }
 
 // commit tries until the outcome of every unit is known. A try without an
@@ -186,7 +231,7 @@
 			if u.Expires.IsZero() || now.Before(u.Expires) {
 				return false
 			}
-			u.Done(0, ErrUnknown)
+			w.settle(u, 0, ErrUnknown)
 			return true
 		})
 		if len(batch) == 0 {
@@ -205,34 +250,32 @@
 		}
 		// Users' writes don't queue behind the records' for the local limit:
 		// they are few, and after an outage there are records for seconds.
-		n := min(len(t.Then), w.limit.Burst())
-		if batch[0].Urgent {
-			w.limit.ReserveN(time.Now(), n)
-		} else if err := w.limit.WaitN(ctx, n); err != nil {
+		if err := w.pace.wait(ctx, len(t.Then), batch[0].Urgent); err != nil {
 			for _, u := range batch {
-				u.Done(0, ErrUnknown)
+				w.settle(u, 0, ErrUnknown)
 			}
 			return
 		}
 		ans, err := w.c.Txn(ctx, t)
+		w.pace.answered(time.Now(), err)
 		switch {
 		case err == nil:
 			for _, u := range batch {
-				u.Done(ans.Revision, nil)
+				w.settle(u, ans.Revision, nil)
 			}
 			return
 		case errors.Is(err, ErrConflict):
 			rest := batch[:0]
 			for _, u := range batch {
 				if slices.ContainsFunc(u.If, func(c wire.Condition) bool { return slices.Contains(ans.Failed, c.Key) }) {
-					u.Done(0, ErrConflict)
+					w.settle(u, 0, ErrConflict)
 				} else {
 					rest = append(rest, u)
 				}
 			}
 			if len(rest) == len(batch) { // names no key of ours: don't loop
 				for _, u := range rest {
-					u.Done(0, ErrConflict)
+					w.settle(u, 0, ErrConflict)
 				}
 				return
 			}
@@ -240,7 +283,7 @@
 			continue
 		case errors.Is(err, ErrNoLease):
 			if len(batch) == 1 {
-				batch[0].Done(0, ErrNoLease)
+				w.settle(batch[0], 0, ErrNoLease)
 				return
 			}
 			for _, u := range batch { // find the guilty one
@@ -255,19 +298,19 @@
 				if !u.Urgent || errors.Is(err, ErrRefused) && u.tries < urgentTries {
 					return false
 				}
-				u.Done(0, err)
+				w.settle(u, 0, err)
 				return true
 			})
 		default:
 			for _, u := range batch {
-				u.Done(0, err)
+				w.settle(u, 0, err)
 			}
 			return
 		}
 		select {
 		case <-ctx.Done():
 			for _, u := range batch {
-				u.Done(0, ErrUnknown)
+				w.settle(u, 0, ErrUnknown)
 			}
 			return
 		case <-time.After(pause + rand.N(pause)):
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +24,7 @@
 		net := w.Net()
 		net.Judge(judge)
 		c := store.NewClient("state:1", net)
-		wr := store.NewWriter(c, 32, 60)
+		wr := store.NewWriter(c, 32, 60, 3)
 		done := make(chan struct{})
 		go func() { defer close(done); wr.Run(ctx) }()
 		defer func() { cancel(); <-done; time.Sleep(time.Minute) }()
@@ -126,3 +127,63 @@
 		}
 	})
 }
+
+// The limit of changes is for all controllers together, and they need different
+// shares of it: without a word between them, three writers, one of whom wants
+// almost all, neither storm the state service nor leave much of its limit unused.
+func TestWritersShareTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := standin.NewWorld(ctx, nil, nil, nil)
+		w.State.WriteRPS = 60
+		var wg sync.WaitGroup
+		var stored [3]atomic.Int64
+		for i, want := range []int{200, 10, 10} {
+			wr := store.NewWriter(store.NewClient("state:1", w.Net()), 32, 60, 3)
+			wg.Go(func() { wr.Run(ctx) })
+			wg.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					u := &store.Unit{Done: func(_ uint64, err error) {
+						if err == nil {
+							stored[i].Add(1)
+						}
+					}}
+					u.If, u.Then = put(fmt.Sprintf("k%d/%d", i, n), 0)
+					if wr.Backlog() < 2*time.Second {
+						wr.Submit(u)
+					}
+					time.Sleep(time.Second / time.Duration(want))
+				}
+			})
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		wg.Wait()
+		time.Sleep(time.Minute)
+		a, b, c := stored[0].Load(), stored[1].Load(), stored[2].Load()
+		if a+b+c < 60*60*3/4 || b < 500 || c < 500 {
+			t.Errorf("%d, %d and %d changes stored in a minute", a, b, c)
+		}
+		if w.State.Refused*5 > w.State.Taken {
+			t.Errorf("%d transactions refused, %d taken", w.State.Refused, w.State.Taken)
+		}
+	})
+}
+
+// A contested unit may fail, and then all that shares its transaction is sent,
+// and counted, again: it shares with few.
+func TestContestedShareWithFew(t *testing.T) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Add(1)
+			u := &store.Unit{Contested: true, Done: func(uint64, error) { wg.Done() }}
+			u.If, u.Then = put(fmt.Sprintf("k%d", i), 0)
+			wr.Submit(u)
+		}
+		wg.Wait()
+		if w.State.Largest == 0 || w.State.Largest > 8 {
+			t.Errorf("%d contested changes in one transaction", w.State.Largest)
+		}
+	})
+}
