Silent and deaf machines, refused peers, late copies: found sooner, and nobody is fooled

A machine that reported without hearing was given tasks again and again, and a late copy of a report made a dead machine usable after a take-over (tests on fake time, which fail without their guards). What waited too long did not come forward.

--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -80,6 +80,7 @@
 	status *mesh.Status
 	at     time.Time
 	since  time.Time // since when it has been heard without a gap
+	former string    // the process before the present one
 }
 
 // right is a leased key that this process holds or is about to.
@@ -97,6 +98,8 @@
 	n      int
 	key    string
 	term   uint64 // stamp of our holding; 0: not ours
+	gained uint64 // the first of our terms since it was last taken
+	hoarse bool   // most of its machines seem not to hear us: see machine.deaf
 	since  time.Time
 	active bool // replica was read after the take-over
 	cells  *core.Part
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -69,6 +69,10 @@
 // leads tells whether this controller acts as the leader now.
 func (b *brain) leads() bool { return b.lead.active && b.fresh(b.op.RightTTL) }
 
+// unheardOwner is how long the leader deals by what an owner told last when it
+// hears nothing of it, unless the owner loses its part.
+const unheardOwner = 90 * time.Second
+
 // hosts are the machines that owners vouch for, with what is bound on them.
 func (b *brain) hosts() []*core.Host {
 	var out []*core.Host
@@ -118,7 +122,13 @@
 		}
 		h := b.holders[p.key]
 		s := b.siblings[h.Node]
-		if s == nil || s.status == nil || b.now.Sub(s.at) > 4*time.Second {
+		if s == nil || s.status == nil {
+			continue
+		}
+		// An owner that we don't hear, though it holds its part, works on: the
+		// connections between controllers say nothing of who lives. Its machines
+		// are taken for what they were last, with what the records bind there.
+		if b.now.Sub(s.at) > unheardOwner {
 			continue
 		}
 		for i := range s.status.Machines {
@@ -156,9 +166,9 @@
 }
 
 // silent: the machine neither reports nor answers direct commands, while most
-// others of the part do.
+// others of the part do, or it reports and hears nothing.
 func (b *brain) silent(m *machine, p *part) bool {
-	if m.gone || b.now.Sub(b.heardSince(m, p)) < b.silentAfter() || b.now.Sub(m.probeOK) < b.silentAfter() {
+	if m.gone || !b.quiet(m, p) {
 		return false
 	}
 	quiet, all := 0, 0
@@ -167,7 +177,7 @@
 			continue
 		}
 		all++
-		if b.now.Sub(b.heardSince(o, p)) > b.silentAfter() {
+		if b.quiet(o, p) {
 			quiet++
 		}
 	}
@@ -175,9 +185,23 @@
 	return quiet*2 <= all || b.leaseOver(m, p)
 }
 
+func (b *brain) quiet(m *machine, p *part) bool {
+	if m.deaf(p) && b.now.Sub(p.took(m)) > b.silentAfter() && b.now.Sub(m.heard) < b.quietAfter() {
+		return true // it reports all the same, so that commands can't be late
+	}
+	since := b.heardSince(m, p)
+	if m.probeOK.After(since) {
+		since = m.probeOK
+	}
+	if m.unanswered >= deafAfter {
+		return b.now.Sub(since) > b.quietAfter()
+	}
+	return b.now.Sub(since) > b.silentAfter()
+}
+
 // status tells the siblings about this controller and its machines.
 func (b *brain) status() *mesh.Status {
-	s := &mesh.Status{Node: b.cfg.Name, Fresh: b.fresh(b.op.RightTTL), Able: b.able()}
+	s := &mesh.Status{Node: b.cfg.Name, Boot: b.boot, Fresh: b.fresh(b.op.RightTTL), Able: b.able()}
 	for name := range b.lead.closing {
 		s.Closing = append(s.Closing, name)
 	}
@@ -203,6 +227,12 @@
 	if x == nil {
 		return // not one of ours
 	}
+	if x.status != nil && x.status.Boot != s.Boot {
+		if x.former == s.Boot {
+			return // of a process that is dead
+		}
+		x.former = x.status.Boot
+	}
 	if b.now.Sub(x.at) > 2500*time.Millisecond {
 		x.since = b.now
 	}
@@ -899,7 +929,15 @@
 			best, most = h.Part, 1
 		}
 	}
-	if best < 0 || spec.Whole() && r.bound() == 0 && most < n {
+	taken := false
+	if spec.Whole() && r.bound() == 0 && most < n {
+		// A group that has not started, or lost all, may evict where it goes.
+		if best, taken = b.servicePart(hosts, can, r.job.need, n, r.claim()); !taken {
+			return false
+		}
+		most = n
+	}
+	if best < 0 {
 		return false
 	}
 	var move, stay []entry
@@ -914,7 +952,9 @@
 		return false
 	}
 	in := func(h *core.Host) bool { return h.Part == best && can(h) }
-	core.Take(hosts, in, r.job.need, len(move))
+	if !taken {
+		core.Take(hosts, in, r.job.need, len(move))
+	}
 	moved := *r
 	moved.part = best
 	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -45,6 +45,12 @@
 	respOpen bool
 	doRest   time.Time // no direct commands before then
 	probeOK  time.Time
+	// A machine may report and yet hear nothing: neither our answers nor direct
+	// commands. unanswered counts the latter since the last that was answered;
+	// mute means that it lost its lease although we answered its reports, and
+	// has not answered us since.
+	unanswered int
+	mute       bool
 }
 
 func (b *brain) machine(name string) *machine {
@@ -84,14 +90,31 @@
 	return p.since
 }
 
-// silentAfter is how long a machine may be quiet before it counts as silent. It
-// is well above what a worker needs to find its node's successor (an answer
-// outstanding for 4 s, then 1 s to the next).
+// quietAfter is how long a machine may be quiet before it is asked directly: the
+// longest usual pause between two reports and some time on the way.
+func (b *brain) quietAfter() time.Duration {
+	return config.Seconds(1.25*b.cfg.Settings.Workers.ReportS) + 500*time.Millisecond
+}
+
+// silentAfter is how long a machine may be quiet before it counts as silent, if
+// it can't be asked. It is well above what a worker needs to find its node's
+// successor (an answer outstanding for 4 s, then 1 s to the next).
 func (b *brain) silentAfter() time.Duration {
 	w := &b.cfg.Settings.Workers
 	return max(3*config.Seconds(w.ReportS), config.Seconds(0.6*w.LeaseS), 7*time.Second)
 }
 
+// deafAfter is how many direct commands in a row go unanswered by a machine that
+// can't be reached.
+const deafAfter = 2
+
+// deaf tells whether a machine seems to hear nothing of us, whatever it reports.
+// Nothing is placed on it, and it is replaced if it stays so. When that seems so
+// of most machines, it is we who can't be heard: they are all alike then.
+func (m *machine) deaf(p *part) bool {
+	return (m.mute || m.unanswered >= deafAfter) && !p.hoarse
+}
+
 func (b *brain) heardSince(m *machine, p *part) time.Time {
 	if t := p.took(m); !m.heard.After(t) {
 		return t
@@ -99,9 +122,11 @@
 	return m.heard
 }
 
-// up tells whether an owner may place on its machine.
+// up tells whether an owner may place on its machine. It must have shown a token
+// of ours: a report without may be a copy that comes late, after a take-over even
+// of a machine that died long ago, and nothing is known yet to compare it with.
 func (b *brain) up(m *machine, p *part) bool {
-	return !m.gone && m.heard.After(p.took(m)) && m.session > 0 &&
+	return !m.gone && m.heard.After(p.took(m)) && m.session > 0 && m.token >= p.gained && !m.deaf(p) &&
 		b.now.Sub(m.heard) < max(2*config.Seconds(b.cfg.Settings.Workers.ReportS), 3*time.Second)
 }
 
@@ -140,9 +165,18 @@
 		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "state service out of reach"}
 	}
 	m := b.machine(r.Machine)
+	told := m.probeOK
 	newer := b.takeReport(m, r, p, true)
 	ans := wire.ReportAnswer{Token: p.term, Commands: []wire.Command{}}
-	m.answered = b.now
+	// The answer renews the lease from when the report was sent. One that is not
+	// new was sent before the newest came in; it may be a copy that comes long
+	// after its machine died, which must not put off the proof of that.
+	if newer {
+		told = b.now
+	}
+	if told.After(m.answered) {
+		m.answered = told
+	}
 	if newer && !m.gone && p.active {
 		ans.Commands = b.commands(m, p)
 		for _, c := range ans.Commands {
@@ -161,11 +195,15 @@
 		b.log.Info("machine begins a new session", "machine", m.name, "session", r.Session)
 		m.images = map[string]bool{}
 		m.openDo, m.respOpen = 0, false // commands of an earlier session are refused
+		m.mute = !m.answered.IsZero()   // it lost its lease: did it hear us at all?
 	}
 	m.session, m.seq, m.token = r.Session, r.Seq, r.Token
 	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
 	first := m.heard.Before(p.since)
 	m.probeOK = b.now
+	if !viaReport {
+		m.mute, m.unanswered = false, 0
+	}
 	if viaReport {
 		m.heard = b.now
 		m.respOpen = false
@@ -186,6 +224,9 @@
 	if p.active && !m.gone {
 		b.judge(m, p)
 	}
+	if viaReport && (m.mute || m.token < p.gained) {
+		b.ping(m, p) // it answers, and shows our token, if it hears us
+	}
 	b.step()
 	return true
 }
@@ -455,7 +496,10 @@
 				if started {
 					m.openDo = term
 				}
-				m.doRest = b.now.Add(3 * time.Second)
+				m.unanswered++
+				if m.unanswered >= deafAfter {
+					m.doRest = b.now.Add(3 * time.Second)
+				}
 				b.log.Debug("direct command unanswered", "machine", m.name, "err", err)
 				return
 			}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -60,18 +60,33 @@
 
 // urgency orders jobs of one priority. When more is asked than can be done, the
 // most jobs are in time if those that can't be any more stand back, and of the
-// others the one with the least left to do goes first.
+// others the one with the least left to do goes first. That alone would leave the
+// largest jobs to wait for ever, so what has waited too long comes forward.
 type urgency struct {
-	late int // 0: in time, or has no deadline; 1: by half as much again; 2: hopeless
+	late int // -1: waited too long; 0: in time, or has no deadline; 1: by half as much again; 2: hopeless
 	work float64
 }
 
+// The largest jobs, too, must begin within four minutes, and no job may wait for
+// ever for others that come later.
+const (
+	beginWithin = 4 * time.Minute
+	// comeForward leaves the machines time to be rented and to boot.
+	comeForward = beginWithin / 2
+	// waitFactor is how many times its deadline a job that has begun may be over
+	// before it comes forward.
+	waitFactor = 3
+)
+
 func (b *brain) urgency(j *job) urgency {
 	if j.spec.Whole() || j.spec.NoDeadline {
 		return urgency{}
 	}
-	_, finished := j.dealt()
 	age, est := b.now.Sub(j.at).Seconds(), j.spec.EstimateS
+	if age > comeForward.Seconds() && !j.begun() || age > max(beginWithin.Seconds(), waitFactor*j.spec.DeadlineS) {
+		return urgency{late: -1} // the oldest first
+	}
+	_, finished := j.dealt()
 	u := urgency{work: float64(j.spec.Tasks-finished) * est * j.spec.CPUs}
 	switch {
 	case age+est <= j.spec.DeadlineS:
@@ -347,18 +362,26 @@
 	})
 }
 
-// probeSilent asks machines that have not reported in time directly.
+// probeSilent asks machines directly that have not reported in time, or seem not
+// to hear us.
 func (b *brain) probeSilent() {
-	patience := 2*time.Second + time.Duration(1.5*b.cfg.Settings.Workers.ReportS*float64(time.Second))
 	for _, p := range b.parts {
 		if !p.active {
 			continue
 		}
+		all, deaf := 0, 0
 		for _, m := range b.byIdx {
-			if !m.gone && !m.heard.IsZero() && b.home(m) == p.n &&
-				b.now.Sub(b.heardSince(m, p)) > patience && b.now.Sub(m.heard) < 3*time.Minute {
+			if m.gone || m.heard.IsZero() || b.home(m) != p.n || b.now.Sub(m.heard) > 3*time.Minute {
+				continue
+			}
+			all++
+			if m.mute || m.unanswered >= deafAfter {
+				deaf++
+			}
+			if m.mute || m.unanswered > 0 || b.now.Sub(b.heardSince(m, p)) > b.quietAfter() {
 				b.ping(m, p)
 			}
 		}
+		p.hoarse = deaf*2 > all
 	}
 }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -132,6 +132,21 @@
 	return n, finished
 }
 
+// begun tells whether a task of the job has ever been placed.
+func (j *job) begun() bool {
+	for _, r := range j.recs {
+		if r.done > 0 {
+			return true
+		}
+		for i := range r.entries {
+			if r.entries[i].attempt > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 type entry struct {
 	num     int32
 	attempt uint64
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -211,7 +211,7 @@
 // partGained takes a part over: the replica is read once more, so that it has
 // all that former owners stored, then the cells are rebuilt from it.
 func (b *brain) partGained(p *part, stamp uint64) {
-	p.term, p.since, p.active = stamp, b.now, false
+	p.term, p.gained, p.since, p.active = stamp, stamp, b.now, false
 	p.cells, p.alloc = core.NewPart(), map[core.Task]alloc{}
 	// A former owner's last read may have begun just before its key went; it
 	// may go on answering reports for the hold time after that. Whether there
@@ -330,8 +330,14 @@
 // watchHearing gives the rights up when no worker reaches this controller: the
 // siblings may well be reachable.
 func (b *brain) watchHearing() {
-	window := 2*config.Seconds(b.cfg.Settings.Workers.ReportS) + 6*time.Second
+	report := config.Seconds(b.cfg.Settings.Workers.ReportS)
+	window := 2*report + 6*time.Second
 	known, heard, young := 0, false, false
+	// Many machines that all fall silent at once, and all siblings with them, say
+	// more in a short time than few do in a long one.
+	if n := b.reporting(); n > 0 && b.siblingsSilent(4*time.Second) {
+		window = min(window, max(20*report/time.Duration(n), report/2+4*time.Second))
+	}
 	for _, p := range b.parts {
 		if p.term == 0 {
 			continue
@@ -355,24 +361,42 @@
 		}
 		return
 	}
-	// A leader that hears from no other owner can't lead.
-	if b.rights[keyLeader].stamp == 0 || b.now.Sub(b.lead.since) < 8*time.Second {
+}
+
+// watchFollowers gives the lead up when neither workers nor other owners reach
+// this controller. Siblings alone don't count: where connections between all
+// controllers are refused, the lead would be passed round for nothing.
+func (b *brain) watchFollowers() {
+	if b.rights[keyLeader].stamp == 0 || b.now.Sub(b.lead.since) < 8*time.Second || !b.siblingsSilent(6*time.Second) || b.reporting() > 0 {
 		return
 	}
-	others, deaf := 0, 0
 	for _, p := range b.parts[:b.lentPart()] {
-		h, ok := b.holders[p.key]
-		if !ok || h.Node == b.cfg.Name {
-			continue
+		if h, ok := b.holders[p.key]; ok && h.Node != b.cfg.Name {
+			b.log.Info("neither workers nor other owners reach this leader: giving the lead up")
+			b.yield(keyLeader)
+			b.rights[keyLeader].rest = b.now.Add(yieldFor)
+			return
 		}
-		others++
-		if s := b.siblings[h.Node]; s == nil || b.now.Sub(s.at) > 6*time.Second {
-			deaf++
+	}
+}
+
+// reporting is how many machines of ours have reported of late.
+func (b *brain) reporting() int {
+	n := 0
+	for _, m := range b.byIdx {
+		if !m.gone && b.parts[b.home(m)].term != 0 && b.now.Sub(m.heard) < time.Minute {
+			n++
 		}
 	}
-	if others > 0 && others == deaf {
-		b.log.Info("no other owner reaches this leader: giving the lead up")
-		b.yield(keyLeader)
-		b.rights[keyLeader].rest = b.now.Add(yieldFor)
+	return n
+}
+
+// siblingsSilent tells whether there are siblings and none was heard for d.
+func (b *brain) siblingsSilent(d time.Duration) bool {
+	for _, s := range b.siblings {
+		if b.now.Sub(s.at) < d {
+			return false
+		}
 	}
+	return len(b.siblings) > 0
 }
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -152,6 +152,7 @@
 		}
 		b.tendRights()
 		b.watchHearing()
+		b.watchFollowers()
 		b.tendCloud()
 		b.stepDue = false
 		b.stepParts()
--- /dev/null
+++ b/internal/controller/trouble_test.go
@@ -0,0 +1,293 @@
+package controller
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/wire"
+)
+
+// boundTo counts the tasks that the records bind to a machine.
+func (c *cluster) boundTo(name string) int {
+	for _, n := range c.nodes {
+		if n.cancel == nil {
+			continue
+		}
+		bound := -1
+		if n.brain.ask(c.ctx, func() { bound = len(n.brain.machine(name).bound) }) {
+			return bound
+		}
+	}
+	return -1
+}
+
+// holdersOf tells who holds the lead and the parts, with the versions that gave
+// them.
+func (c *cluster) holdersOf() map[string]string {
+	out := map[string]string{}
+	b := c.nodes[0].brain
+	b.ask(c.ctx, func() {
+		for key, h := range b.holders {
+			out[key] = fmt.Sprint(h.Node, b.vers[key])
+		}
+	})
+	return out
+}
+
+// dealtTo counts the parts of which the leader deals to a machine.
+func (c *cluster) dealtTo() int {
+	parts := map[int]bool{}
+	for _, n := range c.nodes {
+		n.brain.ask(c.ctx, func() {
+			if n.brain.leads() {
+				for _, h := range n.brain.hosts() {
+					parts[h.Part] = true
+				}
+			}
+		})
+	}
+	return len(parts)
+}
+
+// services submits n services and waits until they run.
+func (c *cluster) services(n, tasks int) {
+	c.t.Helper()
+	for i := range n {
+		c.submit(jobBody(fmt.Sprintf("wk-%d", i+1), wire.Service, "blue", "urgent", tasks, 2, 0))
+	}
+	c.await("the services run", time.Minute, func() bool { return c.allRun(n, tasks) })
+}
+
+func (c *cluster) allRun(n, tasks int) bool {
+	for i := range n {
+		if c.world.Running(fmt.Sprintf("wk-%d", i+1)) != tasks {
+			return false
+		}
+	}
+	return true
+}
+
+// A machine whose reports arrive while neither answers nor commands reach it
+// looks alive. Its tasks run elsewhere soon after its lease is over, and it is
+// given none again: it would take them, and lose them, time after time.
+func TestMachineThatHearsNothing(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(4, 2)
+		// More work than room, and nothing can be rented or returned.
+		c.submit(jobBody("wk-9", wire.Array, "blue", "low", 600, 1, 6))
+		time.Sleep(15 * time.Second)
+		c.world.Cloud.SetDown(true)
+		w := c.world.Cloud.Workers()[0]
+		w.SetDeaf(true)
+		time.Sleep(25 * time.Second)
+		if !c.allRun(4, 2) {
+			t.Error("replicas are missing long after the lease is over")
+		}
+		for range 20 {
+			time.Sleep(time.Second)
+			if n := c.boundTo(w.Name()); n > 0 {
+				t.Fatalf("%d tasks are bound to a machine that hears nothing", n)
+			}
+		}
+		w.SetDeaf(false)
+		c.submit(jobBody("wk-8", wire.Array, "blue", "low", 600, 1, 6))
+		c.await("it is used again", 20*time.Second, func() bool { return c.boundTo(w.Name()) > 0 })
+		c.world.Cloud.SetDown(false)
+		c.awaitDone("wk-9", 10*time.Minute)
+	})
+}
+
+// A report that shows no token of ours may be a copy from before a take-over:
+// until one does, nothing is placed on its machine.
+func TestCopyFromBeforeATakeOver(t *testing.T) {
+	b := lone(t)
+	p := b.parts[0]
+	p.term, p.gained = 20, 20
+	m := b.machine("host-1")
+	for _, x := range []struct {
+		token, session, seq uint64
+		up                  bool
+	}{{0, 1, 7, false}, {12, 1, 8, false}, {20, 1, 9, true}, {12, 1, 8, true}, {12, 2, 1, false}, {21, 2, 2, true}} {
+		b.now = b.now.Add(time.Second)
+		b.takeReport(m, &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: x.session, Seq: x.seq, Token: x.token}, p, true)
+		if b.up(m, p) != x.up {
+			t.Errorf("after report %+v the machine is usable: %v", x, !x.up)
+		}
+	}
+}
+
+// Copies of the reports of a machine that is dead come for half a minute, also
+// right after all controllers are new and know nothing to compare them with.
+// They neither make the machine usable nor put off the proof that it is gone.
+func TestLateCopiesOfReports(t *testing.T) {
+	for _, takeOver := range []bool{false, true} {
+		t.Run(fmt.Sprint(takeOver), func(t *testing.T) {
+			inWorld(t, func(c *cluster) {
+				c.submit(jobBody("wk-9", wire.Array, "blue", "low", 30, 1, 90)) // there is room to take
+				c.services(4, 2)
+				w := c.world.Cloud.Workers()[0]
+				for c.boundTo(w.Name()) == 0 {
+					t.Fatal("nothing runs on the first machine")
+				}
+				copies := w.LastReport()
+				w.Die()
+				c.world.Cloud.SetDown(true) // so that only the lease can prove it
+				if takeOver {
+					for i := range c.nodes {
+						c.kill(i)
+						c.start(i)
+					}
+				}
+				for i := range 70 {
+					node := c.nodes[i%3].cfg.APIAddr
+					req, _ := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+node+"/v1/report", bytes.NewReader(copies))
+					if resp, err := c.user.RoundTrip(req); err == nil && resp.StatusCode >= 400 && resp.StatusCode != 421 && resp.StatusCode != 503 {
+						t.Errorf("status %d", resp.StatusCode)
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				// A whole lease, and after a take-over what a former owner may
+				// have answered on top of it.
+				c.await("the replicas run elsewhere", c.nodes[0].brainHold(), func() bool { return c.allRun(4, 2) })
+				if n := c.boundTo(w.Name()); n > 0 {
+					t.Errorf("%d tasks are bound to a dead machine", n)
+				}
+			})
+		})
+	}
+}
+
+// A controller that loses the state service and its siblings, not its workers,
+// can't know of a cancellation: it stops answering in time, and the work passes
+// to the others.
+func TestCutFromStateAndSiblings(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(6, 2)
+		own := c.world.Cloud.Workers()
+		c.nodes[1].meshCut.Store(true)
+		c.nodes[1].net.Judge(func(r *http.Request) standin.Fate {
+			if r.URL.Host == "state:1" {
+				return standin.Drop
+			}
+			return standin.Deliver
+		})
+		time.Sleep(time.Second)
+		for i := range 3 {
+			c.abort(fmt.Sprintf("wk-%d", i+1))
+		}
+		time.Sleep(40 * time.Second)
+		for _, w := range own { // also one that no other owner has spoken to
+			old := regexp.MustCompile(`"baton":\d+`).ReplaceAll(w.LastReport(), []byte(`"baton":0`))
+			req, _ := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+c.nodes[1].cfg.APIAddr+"/v1/report", bytes.NewReader(old))
+			if resp, err := c.user.RoundTrip(req); err != nil || resp.StatusCode < 400 {
+				t.Errorf("a report is answered long after the last read: %v", err)
+			}
+		}
+		for i := range 3 {
+			if n := c.world.Running(fmt.Sprintf("wk-%d", i+1)); n != 0 {
+				t.Errorf("%d tasks of cancelled service %d run", n, i+1)
+			}
+			if n := c.world.Running(fmt.Sprintf("wk-%d", i+4)); n != 2 {
+				t.Errorf("%d replicas of service %d run", n, i+4)
+			}
+		}
+		c.submit(jobBody("wk-9", wire.Array, "blue", "normal", 12, 2, 2))
+		c.awaitDone("wk-9", time.Minute)
+		c.nodes[1].net.Judge(nil)
+		c.nodes[1].meshCut.Store(false)
+	})
+}
+
+// Controllers that refuse each other's connections say nothing about who lives:
+// no right changes hands, and what comes in is dealt and runs.
+func TestRefusedPeers(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(4, 2)
+		time.Sleep(10 * time.Second)
+		before, parts := c.holdersOf(), c.dealtTo()
+		for _, n := range c.nodes {
+			n.meshCut.Store(true)
+		}
+		time.Sleep(15 * time.Second)
+		c.submit(jobBody("wk-8", wire.Service, "blue", "urgent", 2, 2, 0))
+		c.submit(jobBody("wk-9", wire.Array, "blue", "normal", 12, 2, 2))
+		c.await("the service runs", 30*time.Second, func() bool { return c.world.Running("wk-8") == 2 })
+		c.awaitDone("wk-9", time.Minute)
+		for _, n := range c.nodes {
+			if !n.brain.Ready(c.ctx) {
+				t.Error("a controller is not ready")
+			}
+		}
+		if now := c.dealtTo(); now != parts {
+			t.Errorf("the leader deals to machines of %d parts, before of %d", now, parts)
+		}
+		after := c.holdersOf()
+		for key, h := range before {
+			// A higher term of the same holder is no change of hands.
+			if strings.TrimRight(h, "0123456789")[:1] != strings.TrimRight(after[key], "0123456789")[:1] || h[:2] != after[key][:2] {
+				t.Errorf("%s passed from %s to %s", key, h, after[key])
+			}
+		}
+		for _, n := range c.nodes {
+			n.meshCut.Store(false)
+		}
+	})
+}
+
+// Processes and machines that are back in a fraction of a second, also in the
+// middle of an election.
+func TestBackAtOnce(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(3, 2)
+		c.submit(jobBody("wk-9", wire.Array, "blue", "normal", 60, 1, 4))
+		for i := range 9 {
+			c.kill(i % 3)
+			time.Sleep(time.Duration(50+100*(i%4)) * time.Millisecond)
+			c.start(i % 3)
+			ws := c.world.Cloud.Workers()
+			ws[i%len(ws)].Restart()
+			time.Sleep(time.Duration(100+700*(i%3)) * time.Millisecond)
+		}
+		c.await("the services run", 40*time.Second, func() bool { return c.allRun(3, 2) })
+		c.awaitDone("wk-9", 2*time.Minute)
+	})
+}
+
+// While more is asked than can be done, small jobs go first; the largest still
+// begins within four minutes and gets done while small ones keep coming.
+func TestLargestIsServedInAFlood(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.world.Cloud.Capacity = 2
+		late := func(id string, tasks int) {
+			b := jobBody(id, wire.Array, "blue", "normal", tasks, 4, 8)
+			b["dueS"] = 60
+			c.submit(b)
+		}
+		late("wk-1", 200)
+		n := 1
+		flood := func(d time.Duration) {
+			for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(2 * time.Second) {
+				n++
+				late(fmt.Sprintf("wk-%d", n), 8)
+			}
+		}
+		flood(4 * time.Minute)
+		if c.world.Finished("wk-1") == 0 && c.world.Running("wk-1") == 0 {
+			t.Error("the largest job has not begun")
+		}
+		flood(6 * time.Minute)
+		all := 0
+		for i := range n {
+			all += c.world.Finished(fmt.Sprintf("wk-%d", i+1))
+		}
+		if done := c.world.Finished("wk-1"); done*3 < all {
+			t.Errorf("%d of %d tasks done in ten minutes are the largest job's", done, all)
+		}
+	})
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -592,6 +592,13 @@
 	for _, id := range cancel {
 		c.abort(id)
 	}
+	healed := time.Now()
+	for _, id := range accepted {
+		c.state(id)
+		if d := time.Since(healed); d > 75*time.Second {
+			c.t.Errorf("%s is answered for %v after the troubles", id, d)
+		}
+	}
 	time.Sleep(c.nodes[0].brainHold())
 	for _, id := range accepted {
 		c.await(id+" is over", 8*time.Minute, func() bool { s := c.state(id); return s == wire.Done || s == wire.Cancelled })
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -14,7 +14,7 @@
 )
 
 // Version of the format; a peer speaking another one is refused by name.
-const Version = 1
+const Version = 2
 
 const (
 	kindStatus = 1
@@ -48,6 +48,9 @@
 // Status is what one controller tells the others.
 type Status struct {
 	Node string
+	// Boot is drawn at the process's start: a restarted controller has the name
+	// of its former self, whose frames may still come late.
+	Boot string
 	// Fresh: its replica of the state service is current.
 	Fresh bool
 	// Able: it would take parts over (it is fresh and workers reach it).
@@ -67,6 +70,7 @@
 	start := len(buf)
 	buf = append(buf, 'E', 'H', Version, kindStatus, 0, 0, 0, 0)
 	buf = appendString(buf, s.Node)
+	buf = appendString(buf, s.Boot)
 	var flags uint8
 	if s.Fresh {
 		flags |= 1
@@ -177,7 +181,7 @@
 
 func parseStatus(payload []byte) (*Status, error) {
 	r := &reader{buf: payload}
-	s := &Status{Node: r.text()}
+	s := &Status{Node: r.text(), Boot: r.text()}
 	flags := r.byte()
 	s.Fresh, s.Able = flags&1 != 0, flags&2 != 0
 	for range r.count(1) {
--- a/internal/mesh/frame_test.go
+++ b/internal/mesh/frame_test.go
@@ -11,7 +11,7 @@
 
 func TestStatusRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &Status{Node: rapid.StringN(0, 20, 100).Draw(t, "node"), Fresh: rapid.Bool().Draw(t, "fresh"), Able: rapid.Bool().Draw(t, "able"),
+		s := &Status{Node: rapid.StringN(0, 20, 100).Draw(t, "node"), Boot: rapid.StringN(0, 20, 100).Draw(t, "boot"), Fresh: rapid.Bool().Draw(t, "fresh"), Able: rapid.Bool().Draw(t, "able"),
 			Parts: rapid.SliceOf(rapid.Uint64()).Draw(t, "parts")}
 		for range rapid.IntRange(0, 5).Draw(t, "n") {
 			s.Machines = append(s.Machines, Machine{Name: rapid.StringN(0, 20, 100).Draw(t, "name"), Addr: "10.1.0.2:9000", Type: "g8", Zone: "a",
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -40,7 +40,10 @@
 	// cut: nothing reaches it and nothing comes from it.
 	cut bool
 	// sick: every task fails.
-	sick  bool
+	sick bool
+	// deaf: it reports, but neither answers nor commands reach it.
+	deaf  bool
+	last  []byte // its newest report
 	nudge chan struct{}
 }
 
@@ -79,6 +82,34 @@
 	k.sick = sick
 }
 
+// SetDeaf has the machine's reports arrive while nothing reaches it.
+func (k *Worker) SetDeaf(deaf bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.deaf = deaf
+}
+
+// Restart ends the machine with all its tasks and has it back at once, in a new
+// session.
+func (k *Worker) Restart() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, t := range k.tasks {
+		k.w.off(k, t)
+	}
+	k.tasks = map[string]*workerTask{}
+	k.session++
+	k.seq, k.renewed = 0, time.Now()
+	k.changed()
+}
+
+// LastReport is the newest report as it was sent, for copies that come late.
+func (k *Worker) LastReport() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.last
+}
+
 func (k *Worker) running() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -188,6 +219,9 @@
 	node := k.w.nodes[k.node%len(k.w.nodes)]
 	k.mu.Unlock()
 	raw, _ := json.Marshal(r)
+	k.mu.Lock()
+	k.last = raw
+	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(k.w.ctx, 4*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/report", bytes.NewReader(raw))
@@ -204,7 +238,7 @@
 		k.mu.Lock()
 		k.changed()
 	}
-	if err != nil {
+	if err != nil || k.deaf {
 		next()
 		return
 	}
@@ -277,7 +311,7 @@
 	body, _ := io.ReadAll(r.Body)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.dead || k.cut || !k.up {
+	if k.dead || k.cut || k.deaf || !k.up {
 		k.mu.Unlock()
 		<-r.Context().Done()
 		k.mu.Lock()
