Bindings gather for 0.3 s, and a transaction takes a third of a second's changes

Cause: the leader's large transactions were refused time after time while owners took the limit change by change (its commits 6 s, theirs 8 ms), and each freed cell cost a change of its own: 2.3 events a change. Ruled out: conflicts (0 to 2 in 30 s). The leader's commits still take 2 to 3 s.

--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -243,6 +243,13 @@
 	return min(leastGather+2*b.wr.Backlog(), mostGather)
 }
 
+// gatherBinds is how long the new bindings of an array's record wait for others
+// while more of its tasks are to come: cells come free one by one, many times a
+// second, and a change for each would take up what the state service allows.
+func (b *brain) gatherBinds() time.Duration {
+	return min(300*time.Millisecond+b.wr.Backlog(), time.Second)
+}
+
 // store writes what has changed of a record, if anything.
 func (b *brain) store(p *part, r *rec) {
 	var next []entry
@@ -253,6 +260,7 @@
 	}
 	var ended []used
 	var bound []core.Task
+	pending := 0 // tasks that have no cell yet
 	for _, e := range r.entries {
 		t := r.task(e.num)
 		if o, ok := b.outcomes[t]; ok && e.m != nil && o.attempt == e.attempt {
@@ -277,13 +285,24 @@
 				changed = true
 			}
 		}
+		if e.m == nil {
+			pending++
+		}
 		next = append(next, e)
 	}
 	if !changed {
-		r.endedAt = time.Time{}
+		r.endedAt, r.boundAt = time.Time{}, time.Time{}
 		return
 	}
 	job := r.job
+	if len(bound) > 0 && pending > 0 && !job.spec.Whole() {
+		if r.boundAt.IsZero() {
+			r.boundAt = b.now
+		}
+		if b.now.Sub(r.boundAt) < b.gatherBinds() {
+			return
+		}
+	}
 	if len(bound) == 0 && len(next) > 0 && job.fate == live {
 		// Ends alone can wait a little for each other: writes are scarce.
 		if r.endedAt.IsZero() {
@@ -293,7 +312,7 @@
 			return
 		}
 	}
-	r.endedAt = time.Time{}
+	r.endedAt, r.boundAt = time.Time{}, time.Time{}
 	u := &store.Unit{If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
 	if job.fate == live {
 		// Binding and completing race with a cancellation: only one can hold.
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -168,6 +168,7 @@
 	entries  []entry
 	writing  bool
 	endedAt  time.Time // since when ended attempts wait to be stored
+	boundAt  time.Time // since when new bindings wait to be stored
 	since    time.Time // when it came to its part
 	cappedAt time.Time // when the leader last changed its cap
 }
--- a/internal/store/pace.go
+++ b/internal/store/pace.go
@@ -25,14 +25,22 @@
 	paceUp    = 0.02 // of the whole limit, for each transaction that is taken
 	paceDown  = 0.75 // factor when one is too much
 	paceEvery = 500 * time.Millisecond
+
+	batchS     = 0.3 // seconds' worth of changes in one transaction
+	leastBatch = 4
 )
 
 func newPace(writeRPS float64, sharers, ops int) *pace {
 	w := rate.Limit(writeRPS)
 	return &pace{limit: rate.NewLimiter(w*0.7, max(ops, int(writeRPS*0.5))),
-		least: w * 0.5 / rate.Limit(max(sharers, 1)), most: w * 0.9}
+		least: w * 0.8 / rate.Limit(max(sharers, 1)), most: w * 0.9}
 }
 
+// batch is how many changes one transaction should have at the most: what comes
+// free in a fraction of a second. One that wants all of a second's worth at once
+// would be refused time after time while others take it change by change.
+func (p *pace) batch(ops int) int { return min(ops, max(leastBatch, int(p.rate()*batchS))) }
+
 // rate is the present one, in changes a second.
 func (p *pace) rate() float64 { return float64(p.limit.Limit()) }
 
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -120,14 +120,10 @@
 func (w *Writer) work(ctx context.Context, early, usual <-chan *Unit) {
 	var carry *Unit
 	for {
-		batch := w.gather(ctx, early, usual, carry)
-		carry = nil
-		if batch == nil {
+		var batch []*Unit
+		if batch, carry = w.gather(ctx, early, usual, carry); batch == nil {
 			return
 		}
-		if last := batch[len(batch)-1]; len(batch) > 1 && !fits(batch, w.ops) {
-			carry, batch = last, batch[:len(batch)-1]
-		}
 		w.commit(ctx, batch)
 	}
 }
@@ -163,9 +159,9 @@
 	return n <= ops && conds <= 3*ops && size <= maxTxnBytes
 }
 
-// gather waits for a unit and takes those that are queued behind it, up to one
-// more than fits.
-func (w *Writer) gather(ctx context.Context, early, usual <-chan *Unit, carry *Unit) []*Unit {
+// gather waits for a unit and takes those that are queued behind it and fit, and
+// the first that doesn't, which is for the next batch.
+func (w *Writer) gather(ctx context.Context, early, usual <-chan *Unit, carry *Unit) (batch []*Unit, over *Unit) {
 	first := carry
 	if first == nil {
 		first = w.next(early, usual)
@@ -176,11 +172,12 @@
 		case first = <-early:
 		case first = <-usual:
 		case <-ctx.Done():
-			return nil
+			return nil, nil
 		}
 	}
-	batch := []*Unit{first}
-	for fits(batch, w.ops) {
+	batch = []*Unit{first}
+	ops := w.pace.batch(w.ops)
+	for fits(batch, ops) {
 		var u *Unit
 		if first.Urgent {
 			select {
@@ -191,11 +188,14 @@
 			u = poll(early, usual)
 		}
 		if u == nil {
-			break
+			return batch, nil
 		}
 		batch = append(batch, u)
 	}
-	return batch
+	if n := len(batch) - 1; n > 0 {
+		return batch[:n], batch[n]
+	}
+	return batch, nil // larger alone than a batch should be
 }
 
 // next is the unit whose turn it is, or nil.
