Ends gather for 1 s and bindings for 0.4 s

Cause: owners' changes carried 2 to 3 events each while the leader waited for its share of the limit.

--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -232,7 +232,7 @@
 // for others. The most is below the 3 s within which a done job must be known as
 // done, and a record's last task does not wait at all.
 const (
-	leastGather = 500 * time.Millisecond
+	leastGather = time.Second
 	mostGather  = 2500 * time.Millisecond
 )
 
@@ -247,7 +247,7 @@
 // while more of its tasks are to come: cells come free one by one, many times a
 // second, and a change for each would take up what the state service allows.
 func (b *brain) gatherBinds() time.Duration {
-	return min(300*time.Millisecond+b.wr.Backlog(), time.Second)
+	return min(400*time.Millisecond+b.wr.Backlog(), time.Second)
 }
 
 // store writes what has changed of a record, if anything.
