Work goes beside services, and machines are emptied unless a want is unmet

Cause: services were spread over nearly all ordinary machines and kept them from being returned, and any waiting task stopped the emptying.

--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -106,6 +106,7 @@
 	alloc  map[core.Task]alloc
 	raise  bool
 	raised time.Time
+	pinned map[*machine]bool // those that services are bound to, see core.Host
 	// old is how long a former owner may go on answering reports.
 	old time.Duration
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -102,6 +102,7 @@
 			}
 			h.Free = h.Free.Minus(r.job.need)
 			h.Claims = append(h.Claims, core.HeldCell{Claim: r.claim(), Size: r.job.need})
+			h.Pinned = h.Pinned || r.job.spec.Whole()
 		}
 		if b.lead.closing[m.name] {
 			h.Free, h.Claims = core.Res{}, nil // no room for anybody
@@ -987,6 +988,7 @@
 			like[r.job.spec.Class] += r.bound()
 		}
 	}
+	unmet := false
 	serve := func(w want) {
 		n := w.count
 		if !w.service && w.windowS > 0 {
@@ -999,6 +1001,7 @@
 		if n <= 0 {
 			return
 		}
+		unmet = true
 		var fitting, late []core.Priced
 		for _, o := range offers {
 			if !allowed(w.job, w.zone, o.Type, o.Zone, o.Spot) {
@@ -1036,6 +1039,7 @@
 	for _, w := range wants {
 		serve(w)
 	}
+	short := unmet
 	spare, level := b.headroom()
 	// Room for services to come may be in use by work that they would evict.
 	for _, h := range all {
@@ -1055,7 +1059,7 @@
 			b.rent(o, min(n, 50))
 		}
 	}
-	b.closeSpare(hosts, spare, level, len(wants) > 0)
+	b.closeSpare(hosts, spare, level, short)
 	b.returnIdle(hosts)
 }
 
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -32,8 +32,16 @@
 		}
 	}
 	byUrgency := b.byUrgency()
+	p.pinned = map[*machine]bool{}
 	var mine []*rec
 	for _, r := range b.recs {
+		if r != nil && r.job.spec != nil && r.job.spec.Whole() {
+			for i := range r.entries {
+				if m := r.entries[i].m; m != nil {
+					p.pinned[m] = true
+				}
+			}
+		}
 		if r != nil && r.part == p.n && r.job.spec != nil {
 			mine = append(mine, r)
 		}
@@ -217,6 +225,9 @@
 		if m.spot {
 			s -= 500 // what is dear is left to those who need it
 		}
+		if p.pinned[m] {
+			s -= 150 // it stays anyhow
+		}
 		// Tight packing leaves whole machines free to be returned.
 		return s + float64(min(free.CPU, 100_000))/1000
 	}
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -332,16 +332,20 @@
 			return
 		}
 		var pick choice
-		pickCost := -1.0
+		pickCost, pickScore := -1.0, 0.0
 		for m, x := range p.machines {
-			if !x.known || score(m, x.free) < 0 {
+			if !x.known {
+				continue
+			}
+			s := score(m, x.free)
+			if s < 0 {
 				continue
 			}
 			victims, cost := p.victims(x, g, x.free.Minus(taken[m]), mine)
-			if cost < 0 || pickCost >= 0 && (cost > pickCost || cost == pickCost && m > pick.machine) {
+			if cost < 0 || pickCost >= 0 && (cost > pickCost || cost == pickCost && (s > pickScore || s == pickScore && m > pick.machine)) {
 				continue
 			}
-			pick, pickCost = choice{m, victims}, cost
+			pick, pickCost, pickScore = choice{m, victims}, cost, s
 		}
 		if pickCost < 0 {
 			return
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -17,6 +17,9 @@
 	Claims     []HeldCell // of tasks that run on it
 	Booting    bool
 	Touched    bool // by planning: it is wanted
+	// Pinned: a service runs on it. It stays for as long as that does, so what
+	// is placed beside it keeps no other machine from being returned.
+	Pinned bool
 }
 
 // HeldCell is a task's use of a host.
@@ -58,6 +61,9 @@
 	if a.Spot != b.Spot {
 		return a.Spot
 	}
+	if a.Pinned != b.Pinned {
+		return a.Pinned
+	}
 	if ea, eb := a.Free == a.Size, b.Free == b.Size; ea != eb {
 		return eb
 	}
@@ -88,7 +94,7 @@
 			cost += 1 + 1000*float64(held[0].Claim.Level)
 			held = held[1:]
 		}
-		if free.Holds(need) && (cost < bestCost || cost == bestCost && h.ID < best.ID) {
+		if free.Holds(need) && (cost < bestCost || cost == bestCost && (h.Pinned && !best.Pinned || h.Pinned == best.Pinned && h.ID < best.ID)) {
 			best, bestCost, bestRest, bestFree = h, cost, held, free.Minus(need)
 		}
 	}
