--- /dev/null
+++ b/internal/controller/deal.go
@@ -0,0 +1,458 @@
+package controller
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+func (b *brain) limits() []core.Limit {
+	out := make([]core.Limit, len(b.teams))
+	for i := range b.cfg.Settings.Teams {
+		t := &b.cfg.Settings.Teams[i]
+		out[b.team(t.Name)] = core.Limit{Guarantee: core.Amount(t.CPUs, t.GPUs, 0), Max: core.Amount(t.CPUsMax, t.GPUsMax, 0)}
+	}
+	for _, r := range b.recs {
+		if r == nil || r.job.spec == nil {
+			continue
+		}
+		// A dealt task counts for its team's limit whether it runs or not; one
+		// of a cancelled job until it is proven gone.
+		n := r.counts()
+		l := &out[r.job.team]
+		use := r.job.need.Times(n)
+		l.Used = l.Used.Plus(use)
+		if r.own {
+			l.OwnUsed = l.OwnUsed.Plus(use)
+		}
+	}
+	return out
+}
+
+// deal gives waiting tasks to parts that have room for them, highest claims
+// first, and returns what found none.
+func (b *brain) deal(hosts []*core.Host) []core.Want {
+	byUrgency := b.byUrgency()
+	wants, lost := b.settleDealt(hosts, byUrgency)
+	var jobs []*job
+	for _, j := range b.jobs {
+		if j.fate == live && j.spec != nil && j.stamp != 0 && !j.bad && j.waits() {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, byUrgency)
+	limits := b.limits()
+	noRoom := map[string]bool{}
+	short := map[int32]bool{} // teams in which somebody waits for the limit
+	b.lead.ahead = b.dealAhead(lost)
+	for _, j := range jobs {
+		// While somebody more urgent waits within the team's limit, nothing that
+		// stood back comes forward: it would be stopped and started for ever.
+		if !short[j.team] {
+			b.uncap(j, &limits[j.team])
+		}
+		dealt, _ := j.dealt()
+		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Whole() {
+			if left := j.spec.Tasks - dealt; left > 0 {
+				n := limits[j.team].Room(j.need, left)
+				short[j.team] = short[j.team] || n < left
+				wants = append(wants, b.want(j, "", n))
+			}
+			continue
+		}
+		if left := j.spec.Tasks - dealt; left > 0 {
+			if noRoom[j.sig] && !j.spec.Whole() {
+				// Jobs alike are decided as a class: where one found no room,
+				// none behind it will.
+				n := limits[j.team].Room(j.need, left)
+				wants = append(wants, b.want(j, "", n))
+				continue
+			}
+			before := limits[j.team].Used
+			short[j.team] = short[j.team] || limits[j.team].Room(j.need, left) < left
+			w := b.dealJob(hosts, limits, j, dealt, left)
+			if w.Count > 0 {
+				wants = append(wants, w)
+				noRoom[j.sig] = true
+			}
+			if j.spec.Whole() && limits[j.team].Used == before {
+				// What a group waits for is not for those behind it.
+				limits[j.team].Used = before.Plus(j.need.Times(left))
+			}
+		}
+	}
+	return wants
+}
+
+// settleDealt has the tasks that are dealt and not placed yet take the room in
+// their parts, and moves those that find none to parts that have it. It returns
+// what found none anywhere, and how much of each record that is.
+func (b *brain) settleDealt(hosts []*core.Host, byUrgency func(x, y *job) int) (wants []core.Want, lost map[*rec]int) {
+	var recs, stuck []*rec
+	for _, r := range b.recs {
+		if r != nil && r.job.fate == live && r.job.spec != nil && r.job.stamp != 0 && r.may() > r.bound() {
+			recs = append(recs, r)
+		}
+	}
+	slices.SortFunc(recs, func(x, y *rec) int { return cmp.Or(byUrgency(x.job, y.job), cmp.Compare(x.k, y.k)) })
+	lost = map[*rec]int{}
+	// Room only gets less here, so where one of a class has found none, none
+	// behind it will.
+	type class struct {
+		sig, zone string
+		part      int
+		claim     core.Claim
+	}
+	full := map[class]bool{}
+	for _, r := range recs {
+		spec := r.job.spec
+		n := r.may() - r.bound()
+		c := class{r.job.sig, r.zone, r.part, r.claim()}
+		if !full[c] {
+			in := func(h *core.Host) bool {
+				return h.Part == r.part && !h.Booting && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
+			}
+			for _, k := range core.Take(hosts, in, r.job.need, n) {
+				n -= k
+			}
+			for n > 0 && spec.Priority > 0 && core.Evictable(hosts, in, r.job.need, r.claim()) != nil {
+				n--
+			}
+			full[c] = n > 0
+		}
+		if n > 0 {
+			stuck = append(stuck, r)
+			lost[r] = n
+		}
+	}
+	nowhere := map[class]bool{}
+	for _, r := range stuck {
+		n := lost[r]
+		c := class{r.job.sig, r.zone, r.part, r.claim()}
+		if !r.writing && r.cap == 0 && b.now.Sub(r.since) > time.Second && (r.job.spec.Whole() || !nowhere[c]) {
+			if b.moveStuck(hosts, r, n) {
+				continue
+			}
+			nowhere[c] = true
+		}
+		wants = append(wants, b.want(r.job, r.zone, n))
+	}
+	return wants, lost
+}
+
+// slack is the time until a job's deadline.
+func (b *brain) slack(j *job) float64 {
+	if j.spec.NoDeadline {
+		return math.Inf(1)
+	}
+	return j.spec.DeadlineS - b.now.Sub(j.at).Seconds()
+}
+
+// want is what a job's tasks that found no room ask of the fleet.
+func (b *brain) want(j *job, zone string, n int) core.Want {
+	spec, o := j.spec, b.order(j)
+	return core.Want{Class: spec.Class, Need: j.need, Count: n, Service: spec.Whole(), Estimate: spec.EstimateS, Window: o.Window(), Slack: b.slack(j),
+		Allows: func(typ, zoneOf string, spot bool) bool { return allowed(spec, zone, typ, zoneOf, spot) }}
+}
+
+// dealEvery spaces the dealings of one array: it is dealt out in few records.
+const dealEvery = time.Second
+
+// turnaround is about how long a cell stays empty when its next task has not
+// been dealt yet: the end is stored, the leader deals, the binding is stored.
+func (b *brain) turnaround() time.Duration {
+	return b.gatherEnds() + 2*min(b.wr.Backlog(), 5*time.Second) + time.Second
+}
+
+// dealAhead is how many tasks each part may be dealt beyond its free room, so
+// that an ending task's cell is taken again without asking the leader.
+func (b *brain) dealAhead(lost map[*rec]int) []int {
+	ahead := make([]float64, len(b.parts))
+	t := b.turnaround().Seconds()
+	for _, r := range b.recs {
+		if r != nil && r.job.spec != nil && !r.job.spec.Whole() && r.part >= 0 && r.part < len(ahead) {
+			ahead[r.part] += core.Ahead(r.bound(), r.job.spec.EstimateS, t)
+		}
+	}
+	out := make([]int, len(b.parts))
+	for p := range out {
+		out[p] = int(math.Ceil(ahead[p]))
+	}
+	for r, n := range lost {
+		if r.part >= 0 && r.part < len(out) {
+			out[r.part] -= n
+		}
+	}
+	return out
+}
+
+// dealJob deals as many of a job's tasks as there is room for now.
+func (b *brain) dealJob(hosts []*core.Host, limits []core.Limit, j *job, dealt, left int) core.Want {
+	spec := j.spec
+	lim := &limits[j.team]
+	room := lim.Room(j.need, left)
+	if room < left {
+		b.squeeze(j, lim.Lack(j.need.Times(left)))
+	}
+	if spec.Whole() && room < left {
+		room = 0 // it is dealt whole
+	}
+	if room == 0 {
+		return core.Want{}
+	}
+	own := lim.OwnRoom(j.need, room)
+	claim := core.Claim{Level: spec.Priority, Own: own > 0, Team: j.team}
+	var chunks []groupValue
+	next := int32(dealt)
+	add := func(part int, zone string, n int) {
+		for n > 0 {
+			k := min(n, b.maxRec)
+			g := groupValue{Part: part, Zone: zone}
+			if own > 0 {
+				k = min(k, own)
+				own -= k
+				g.Own = true
+			}
+			for range k {
+				g.Tasks = append(g.Tasks, entryValue{Num: next})
+				next++
+			}
+			n -= k
+			chunks = append(chunks, g)
+		}
+	}
+	// Where a team's limit is short, what is dealt but can't run yet would hold
+	// the limit against others of the team, and would have to be held back again.
+	tight := lim.Room(j.need, left+core.LeastDealt*len(b.parts)) < left+core.LeastDealt*len(b.parts)
+	got := 0
+	for _, zone := range b.zonesFor(j, hosts) {
+		n := room - got
+		if spec.Spread {
+			n = min(n, b.spreadRoom(j, zone, chunks))
+		}
+		if n <= 0 {
+			continue
+		}
+		can := func(h *core.Host) bool {
+			return !h.Booting && (h.Part != b.lentPart() || b.lentFor(j)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
+		}
+		d := core.Dealing{Need: j.need, Count: n, Claim: claim, Can: can, Tight: tight}
+		if spec.Whole() {
+			// The whole group in one part, so that its cells are reserved
+			// together; its part's owner evicts where there is no free room.
+			part, ok := d.Whole(hosts, len(b.parts))
+			if !ok {
+				if n > 1 && b.borrow(hosts, j, zone, n, claim) {
+					return core.Want{}
+				}
+				continue
+			}
+			add(part, zone, n)
+			got += n
+			continue
+		}
+		perPart := d.Spread(hosts, b.lead.ahead)
+		for part, k := range perPart {
+			k = min(k, room-got)
+			if k > 0 {
+				add(part, zone, k)
+				got += k
+			}
+		}
+		if got == room {
+			break
+		}
+	}
+	if most := b.cfg.Settings.State.TxnOps / 2; len(chunks) > most {
+		for _, g := range chunks[most:] {
+			got -= len(g.Tasks)
+		}
+		chunks = chunks[:most]
+	}
+	lim.Used = lim.Used.Plus(j.need.Times(got))
+	// All records of one dealing are written together or not at all: which
+	// tasks are dealt already is known by their number alone, so a gap, left by
+	// one write that failed, would have a later dealing hand out tasks twice.
+	term, epoch := b.lead.term, b.lead.epoch
+	u := &store.Unit{Early: true, If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	// Records whose tasks are all done are used again, so that a large array
+	// leaves few behind. None is deleted while its job lives: a dealing that is
+	// applied minutes late must not find its key absent once more.
+	var empty []*rec
+	for _, r := range j.recs {
+		if len(r.entries) == 0 && !r.writing {
+			empty = append(empty, r)
+		}
+	}
+	slices.SortFunc(empty, func(x, y *rec) int { return cmp.Compare(x.k, y.k) })
+	var used []*rec
+	for _, g := range chunks {
+		if g.Own {
+			lim.OwnUsed = lim.OwnUsed.Plus(j.need.Times(len(g.Tasks)))
+		}
+		key, stamp := "", uint64(0)
+		if len(empty) > 0 {
+			key, stamp, g.Done = empty[0].key, empty[0].stamp, empty[0].done
+			empty[0].writing = true
+			used, empty = append(used, empty[0]), empty[1:]
+		} else {
+			key = groupKey(j.id, j.newRec())
+		}
+		u.If = append(u.If, wire.Condition{Key: key, Version: stamp})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(g)})
+	}
+	if got > 0 {
+		j.dealtAt = b.now
+		b.lead.writes++
+		b.write(u, func(err error) {
+			for _, r := range used {
+				r.writing = false
+			}
+			b.leadWrote(epoch, err)
+		})
+		b.metrics.count(cDealt, len(chunks))
+		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
+	}
+	zone := ""
+	if spec.OneZone {
+		zone = b.pinned(j)
+	}
+	return b.want(j, zone, room-got)
+}
+
+// pinned is the zone that a samePlace job's tasks are in already.
+func (b *brain) pinned(j *job) string {
+	for _, r := range j.recs {
+		if r.zone != "" {
+			return r.zone
+		}
+	}
+	return ""
+}
+
+// zonesFor lists the zones to try; "" stands for any.
+func (b *brain) zonesFor(j *job, hosts []*core.Host) []string {
+	if !j.spec.OneZone && !j.spec.Spread {
+		return []string{""}
+	}
+	if z := b.pinned(j); z != "" && j.spec.OneZone {
+		return []string{z}
+	}
+	free := map[string]int{}
+	for _, h := range hosts {
+		if allowed(j.spec, "", h.Type, h.Zone, h.Spot) {
+			free[h.Zone] += h.Free.Fits(j.need, j.spec.Tasks)
+		}
+	}
+	var zones []string
+	for z := range free {
+		zones = append(zones, z)
+	}
+	slices.SortFunc(zones, func(x, y string) int { return cmp.Or(cmp.Compare(free[y], free[x]), cmp.Compare(x, y)) })
+	if j.spec.OneZone && len(zones) > 1 {
+		return zones[:1]
+	}
+	return zones
+}
+
+// spreadRoom is how many more tasks may go to a zone: half of all, rounded up.
+func (b *brain) spreadRoom(j *job, zone string, more []groupValue) int {
+	n := (j.spec.Tasks + 1) / 2
+	for _, r := range j.recs {
+		if r.zone == zone {
+			n -= len(r.entries)
+		}
+	}
+	for _, g := range more {
+		if g.Zone == zone {
+			n -= len(g.Tasks)
+		}
+	}
+	return n
+}
+
+// moveStuck gives waiting tasks of a record whose part has no room to a part
+// that has. Its owner's writes lose by the record's version.
+func (b *brain) moveStuck(hosts []*core.Host, r *rec, n int) bool {
+	spec := r.job.spec
+	if spec.Whole() && n < len(r.entries) && r.bound() == 0 {
+		n = len(r.entries) // a group that has not started moves whole
+	}
+	if spec.Gang && r.bound() > 0 || r.cap != 0 {
+		return false // two records with one's cap would count for more than it
+	}
+	perPart := make([]int, len(b.parts))
+	can := func(h *core.Host) bool {
+		return !h.Booting && h.Part != r.part && h.Part != b.lentPart() && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
+	}
+	trial := core.Clone(hosts)
+	for h, k := range core.Take(trial, can, r.job.need, n) {
+		perPart[h.Part] += k
+	}
+	best, most := -1, 0
+	for p, k := range perPart {
+		if k > most {
+			best, most = p, k
+		}
+	}
+	if best < 0 && n == 1 {
+		if h := core.Evictable(trial, can, r.job.need, r.claim()); h != nil {
+			best, most = h.Part, 1
+		}
+	}
+	taken := false
+	if spec.Whole() && r.bound() == 0 && most < n {
+		// A group that has not started, or lost all, may evict where it goes.
+		if best, taken = (&core.Dealing{Need: r.job.need, Count: n, Claim: r.claim(), Can: can}).Whole(hosts, len(b.parts)); !taken {
+			return false
+		}
+		most = n
+	}
+	if best < 0 {
+		return false
+	}
+	var move, stay []entry
+	for _, e := range r.entries {
+		if e.m == nil && len(move) < most {
+			move = append(move, e)
+		} else {
+			stay = append(stay, e)
+		}
+	}
+	if len(move) == 0 {
+		return false
+	}
+	in := func(h *core.Host) bool { return h.Part == best && can(h) }
+	if !taken {
+		core.Take(hosts, in, r.job.need, len(move))
+	}
+	moved := *r
+	moved.part = best
+	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
+	if len(stay) == 0 {
+		u.Then = []wire.Change{{Put: r.key, Value: moved.value(r.done, move)}}
+	} else {
+		key := groupKey(r.job.id, r.job.newRec())
+		u.If = append(u.If, wire.Condition{Key: key})
+		u.Then = []wire.Change{{Put: r.key, Value: r.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
+	}
+	b.metrics.count(cMoved, 1)
+	b.log.Debug("tasks move to another part", "job", r.job.id, "tasks", len(move), "part", best)
+	b.lead.writes++
+	epoch := b.lead.epoch
+	b.write(u, func(err error) { b.leadWrote(epoch, err) })
+	return true
+}
+
+func sum(xs []int) int {
+	n := 0
+	for _, x := range xs {
+		n += x
+	}
+	return n
+}
--- /dev/null
+++ b/internal/controller/hosts.go
@@ -0,0 +1,251 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/mesh"
+)
+
+// unheardOwner is how long the leader deals by what an owner told last when it
+// hears nothing of it, unless the owner loses its part.
+const unheardOwner = 90 * time.Second
+
+// hosts are the machines that owners vouch for, with what is bound on them.
+func (b *brain) hosts() []*core.Host {
+	var out []*core.Host
+	add := func(m *machine, flags uint8) {
+		t := b.types[m.typ]
+		if t == nil || m.gone || b.lead.leaving[m.name] {
+			return
+		}
+		r := b.lead.rented[m.name]
+		if r == nil {
+			r = &rented{typ: m.typ, zone: m.zone, spot: m.spot, since: b.now}
+			b.lead.rented[m.name] = r
+		}
+		r.up, r.seen = true, b.now
+		if flags&mesh.Up == 0 || flags&(mesh.Warned|mesh.Suspect|mesh.Silent) != 0 {
+			return
+		}
+		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
+		if l := b.lends[m.name]; l != nil && !l.Ack {
+			return // on its way to the leader
+		}
+		h := &core.Host{ID: m.idx, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: b.home(m), Size: size, Free: size}
+		h.Touched = b.lends[m.name] != nil // wanted, even before it is in use
+		for _, r := range m.bound {
+			if r.job.spec == nil {
+				continue
+			}
+			h.Free = h.Free.Minus(r.job.need)
+			h.Claims = append(h.Claims, core.HeldCell{Claim: r.claim(), Size: r.job.need})
+			h.Pinned = h.Pinned || r.job.spec.Whole()
+		}
+		if b.lead.closing[m.name] {
+			h.Free, h.Claims = core.Res{}, nil // no room for anybody
+		}
+		out = append(out, h)
+	}
+	for _, p := range b.parts {
+		if p.term != 0 {
+			if !p.active {
+				continue
+			}
+			for _, m := range b.byIdx {
+				if b.home(m) == p.n && m.heard.After(p.since) {
+					add(m, b.flags(m, p))
+				}
+			}
+			continue
+		}
+		h := b.holders[p.key]
+		s := b.siblings[h.Node]
+		if s == nil || s.status == nil {
+			continue
+		}
+		// An owner that we don't hear, though it holds its part, works on: the
+		// connections between controllers say nothing of who lives. Its machines
+		// are taken for what they were last, with what the records bind there.
+		if b.now.Sub(s.at) > unheardOwner {
+			continue
+		}
+		for i := range s.status.Machines {
+			x := &s.status.Machines[i]
+			if b.home(b.machine(x.Name)) != p.n {
+				continue
+			}
+			m := b.machine(x.Name)
+			m.typ, m.zone, m.spot, m.addr = x.Type, x.Zone, x.Flags&mesh.Spot != 0, x.Addr
+			add(m, x.Flags)
+		}
+	}
+	return out
+}
+
+// flags are what an owner says of its machine.
+func (b *brain) flags(m *machine, p *part) uint8 {
+	var f uint8
+	if b.up(m, p) {
+		f |= mesh.Up
+	}
+	if !m.notice.IsZero() {
+		f |= mesh.Warned
+	}
+	if m.suspect {
+		f |= mesh.Suspect
+	}
+	if m.spot {
+		f |= mesh.Spot
+	}
+	if b.silent(m, p) {
+		f |= mesh.Silent
+	}
+	return f
+}
+
+// silent: the machine neither reports nor answers direct commands, while most
+// others of the part do, or it reports and hears nothing.
+func (b *brain) silent(m *machine, p *part) bool {
+	if m.gone || !b.quiet(m, p) {
+		return false
+	}
+	quiet, all := 0, 0
+	for _, o := range b.byIdx {
+		if o.gone || o.heard.IsZero() || b.home(o) != p.n || b.now.Sub(o.heard) > 2*time.Minute {
+			continue
+		}
+		all++
+		if b.quiet(o, p) {
+			quiet++
+		}
+	}
+	// A machine whose lease is over has lost its tasks anyhow.
+	return quiet*2 <= all || b.leaseOver(m, p)
+}
+
+func (b *brain) quiet(m *machine, p *part) bool {
+	if m.deaf(p) && b.now.Sub(p.took(m)) > b.silentAfter() && b.now.Sub(m.heard) < b.quietAfter() {
+		return true // it reports all the same, so that commands can't be late
+	}
+	since := b.heardSince(m, p)
+	if m.probeOK.After(since) {
+		since = m.probeOK
+	}
+	if m.unanswered >= deafAfter {
+		return b.now.Sub(since) > b.quietAfter()
+	}
+	return b.now.Sub(since) > b.silentAfter()
+}
+
+// status tells the siblings about this controller and its machines.
+func (b *brain) status() *mesh.Status {
+	s := &mesh.Status{Node: b.cfg.Name, Boot: b.boot, Fresh: b.fresh(b.op.RightTTL), Able: b.able()}
+	for name := range b.lead.closing {
+		s.Closing = append(s.Closing, name)
+	}
+	for _, p := range b.parts {
+		if p.term == 0 || !p.active {
+			continue
+		}
+		s.Parts = append(s.Parts, uint64(p.n))
+		for _, m := range b.byIdx {
+			if m.gone || !m.heard.After(p.since) && len(m.bound) == 0 || m.session == 0 || b.home(m) != p.n ||
+				b.now.Sub(b.heardSince(m, p)) > 3*time.Minute {
+				continue
+			}
+			s.Machines = append(s.Machines, mesh.Machine{Name: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Session: m.session, Flags: b.flags(m, p)})
+		}
+	}
+	return s
+}
+
+// takeStatus takes a sibling's status in.
+func (b *brain) takeStatus(s *mesh.Status) {
+	x := b.siblings[s.Node]
+	if x == nil {
+		return // not one of ours
+	}
+	if x.status != nil && x.status.Boot != s.Boot {
+		if x.former == s.Boot {
+			return // of a process that is dead
+		}
+		x.former = x.status.Boot
+	}
+	if b.now.Sub(x.at) > 2500*time.Millisecond {
+		x.since = b.now
+	}
+	x.status, x.at = s, b.now
+	if b.holders[keyLeader].Node == s.Node {
+		b.closing = map[string]bool{}
+		for _, name := range s.Closing {
+			b.closing[name] = true
+		}
+	}
+}
+
+// vouched tells whether a part has had an owner in touch with the leader for
+// long enough that all machines of it must have reported.
+func (b *brain) vouched(p int) bool {
+	since := b.lead.vouchedAt[p]
+	return !since.IsZero() && b.now.Sub(since) > 2*config.Seconds(b.cfg.Settings.Workers.ReportS)+12*time.Second
+}
+
+// allVouched tells whether every part's owner is in touch.
+func (b *brain) allVouched() bool {
+	for i := range b.parts {
+		if b.lead.vouchedAt[i].IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// noteVouching notes for each part since when its owner has been in touch.
+func (b *brain) noteVouching() {
+	if b.lead.vouchedAt == nil {
+		b.lead.vouchedAt, b.lead.vouchedBy = make([]time.Time, len(b.parts)), make([]string, len(b.parts))
+	}
+	for i, p := range b.parts {
+		owner := b.holders[p.key].Node
+		ok := p.active
+		if p.term == 0 {
+			s := b.siblings[owner]
+			ok = s != nil && s.status != nil && b.now.Sub(s.at) < 3*time.Second && slices.Contains(s.status.Parts, uint64(i))
+		}
+		if !ok || b.lead.vouchedBy[i] != owner {
+			b.lead.vouchedAt[i], b.lead.vouchedBy[i] = time.Time{}, owner
+		}
+		if ok && b.lead.vouchedAt[i].IsZero() {
+			b.lead.vouchedAt[i] = b.now
+		}
+	}
+}
+
+// eachVouched calls f for each machine that its owner tells about.
+func (b *brain) eachVouched(f func(*machine, uint8)) {
+	for _, p := range b.parts {
+		if p.term != 0 && p.active {
+			for _, m := range b.byIdx {
+				if b.home(m) == p.n && !m.gone && (!m.heard.IsZero() || len(m.bound) > 0) && b.now.Sub(b.heardSince(m, p)) < 3*time.Minute {
+					f(m, b.flags(m, p))
+				}
+			}
+			continue
+		}
+		if s := b.siblings[b.holders[p.key].Node]; s != nil && s.status != nil && b.now.Sub(s.at) < 3*time.Second {
+			for i := range s.status.Machines {
+				if x := &s.status.Machines[i]; b.home(b.machine(x.Name)) == p.n {
+					if m := b.machine(x.Name); !m.gone {
+						if x.Flags&mesh.Suspect != 0 && m.suspectAt.IsZero() {
+							m.suspectAt = b.now
+						}
+						f(m, x.Flags)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -66,61 +66,27 @@
 	}
 }
 
-// urgency orders jobs of one priority. When more is asked than can be done, the
-// most jobs are in time if those that can't be any more stand back, and of the
-// others the one with the least left to do goes first. That alone would leave the
-// largest jobs to wait for ever, so what has waited too long comes forward.
-type urgency struct {
-	late int // -1: waited too long; 0: in time, or has no deadline; 1: by half as much again; 2: hopeless
-	work float64
-}
-
-// The largest jobs, too, must begin within four minutes, and no job may wait for
-// ever for others that come later.
-const (
-	beginWithin = 4 * time.Minute
-	// comeForward leaves the machines time to be rented and to boot.
-	comeForward = beginWithin / 2
-	// waitFactor is how many times its deadline a job that has begun may be over
-	// before it comes forward.
-	waitFactor = 3
-)
-
-func (b *brain) urgency(j *job) urgency {
-	if j.spec.Whole() || j.spec.NoDeadline {
-		return urgency{}
-	}
-	age, est := b.now.Sub(j.at).Seconds(), j.spec.EstimateS
-	if age > comeForward.Seconds() && !j.begun() || age > max(beginWithin.Seconds(), waitFactor*j.spec.DeadlineS) {
-		return urgency{late: -1} // the oldest first
-	}
+// order is what a job's place among others depends on.
+func (b *brain) order(j *job) *core.Job {
 	_, finished := j.dealt()
-	u := urgency{work: float64(j.spec.Tasks-finished) * est * j.spec.CPUs}
-	switch {
-	case age+est <= j.spec.DeadlineS:
-	case age+est <= 1.5*j.spec.DeadlineS:
-		u.late = 1
-	default:
-		u.late = 2
-	}
-	return u
+	return &core.Job{Level: j.spec.Priority, Whole: j.spec.Whole(), NoDeadline: j.spec.NoDeadline, Begun: j.begun(),
+		Age: b.now.Sub(j.at).Seconds(), Estimate: j.spec.EstimateS, Deadline: j.spec.DeadlineS,
+		Left: float64(j.spec.Tasks-finished) * j.spec.EstimateS * j.spec.CPUs}
 }
 
 // byUrgency compares jobs by priority and urgency, each looked at once.
 func (b *brain) byUrgency() func(x, y *job) int {
-	known := map[*job]urgency{}
-	of := func(j *job) urgency {
+	known := map[*job]core.Urgency{}
+	of := func(j *job) core.Urgency {
 		u, ok := known[j]
 		if !ok {
-			u = b.urgency(j)
+			u = b.order(j).Urgency()
 			known[j] = u
 		}
 		return u
 	}
 	return func(x, y *job) int {
-		ux, uy := of(x), of(y)
-		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), cmp.Compare(ux.late, uy.late), cmp.Compare(ux.work, uy.work),
-			x.at.Compare(y.at), cmp.Compare(x.id, y.id))
+		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), of(x).Compare(of(y)), x.at.Compare(y.at), cmp.Compare(x.id, y.id))
 	}
 }
 
--- /dev/null
+++ b/internal/controller/provision.go
@@ -0,0 +1,237 @@
+package controller
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/wire"
+)
+
+// rented is a machine that the cloud has given us, as far as the leader knows.
+type rented struct {
+	typ, zone string
+	spot      bool
+	since     time.Time
+	up        bool      // it has reported to its owner
+	seen      time.Time // when its owner last told of it
+	listed    bool
+}
+
+// provision rents for what found no room and returns what is not wanted.
+func (b *brain) provision(hosts []*core.Host, wants []core.Want) {
+	if len(b.types) == 0 {
+		return
+	}
+	plan := core.Fleet{All: append(slices.Clone(hosts), b.booting()...), Offers: b.offers(), Like: map[string]int{}, Plan: map[core.Offer]int{}}
+	for _, r := range b.recs {
+		if r != nil && r.job.spec != nil {
+			plan.Like[r.job.spec.Class] += r.bound()
+		}
+	}
+	for _, w := range wants {
+		plan.Serve(w)
+	}
+	short := plan.Unmet
+	spare, level := b.headroom()
+	core.FreeBelow(plan.All, level)
+	for _, w := range spare {
+		plan.Serve(w)
+	}
+	// A new leader does not know yet what is up or booting: it would rent all
+	// of it once more.
+	if b.lead.listed && b.allVouched() || b.now.Sub(b.lead.since) > settleAfter {
+		for o, n := range plan.Plan {
+			b.rent(o, min(n, 50))
+		}
+	}
+	b.closeSpare(hosts, spare, level, short)
+	b.returnIdle(hosts)
+}
+
+// settleAfter is how long a new leader waits for the list of machines and for
+// the parts' owners before it rents.
+const settleAfter = 10 * time.Second
+
+// closeSpare empties machines that the fleet has not needed of late: one takes no
+// more work, and is returned when it is empty.
+func (b *brain) closeSpare(hosts []*core.Host, spare []core.Want, level int, short bool) {
+	if b.lead.closing == nil {
+		b.lead.closing = map[string]bool{}
+	}
+	b.closing = b.lead.closing
+	if short {
+		clear(b.lead.closing)
+		b.lead.surplus.Reset()
+		return
+	}
+	free := int64(0)
+	window := time.Duration(0)
+	for _, h := range hosts {
+		if !b.lead.closing[b.byIdx[h.ID].name] {
+			free += h.Size.CPU - h.Used().CPU
+		}
+		window = max(window, b.idleFor(b.types[h.Type], false))
+	}
+	for _, w := range spare {
+		free -= w.Need.CPU * int64(w.Count)
+	}
+	age := b.now.Sub(b.lead.since)
+	least, ok := b.lead.surplus.Note(age.Seconds(), free, window.Seconds())
+	if !ok || age < window {
+		return // not seen for long enough
+	}
+	best := core.Emptiest(hosts, least, level, func(h *core.Host) bool {
+		return h.Part != b.lentPart() && !b.lead.closing[b.byIdx[h.ID].name]
+	})
+	if best == nil {
+		return
+	}
+	name := b.byIdx[best.ID].name
+	b.lead.closing[name] = true
+	b.lead.surplus.Spend(best.Size.CPU - best.Used().CPU)
+	b.log.Info("machine is emptied to be returned", "machine", name, "spare_cpus", least/1000)
+}
+
+// headroom keeps room for services to come.
+func (b *brain) headroom() (out []core.Want, level int) {
+	level = math.MaxInt
+	byClass := map[string]*core.Want{}
+	var order []string
+	for _, j := range b.jobs {
+		if j.fate != live || j.spec == nil || !j.spec.Service {
+			continue
+		}
+		w := byClass[j.spec.Class]
+		if w == nil {
+			x := b.want(j, "", 0)
+			w = &x
+			byClass[j.spec.Class] = w
+			order = append(order, j.spec.Class)
+		}
+		w.Count += j.spec.Tasks
+		level = min(level, j.spec.Priority)
+	}
+	slices.Sort(order)
+	for _, c := range order {
+		w := byClass[c]
+		w.Count = core.Headroom(w.Count, b.op.HeadroomOf(c))
+		out = append(out, *w)
+	}
+	return out, level
+}
+
+// bootLimit is how long a machine may take to come up before it is given back.
+func (b *brain) bootLimit(t *wire.MachineType) time.Duration {
+	return config.Seconds(b.op.BootPatience*t.BootS + 10)
+}
+
+// usualBoot is how many of its nominal boot times a machine usually takes at
+// the most.
+const usualBoot = 1.6
+
+// booting are machines that are rented and have not reported yet.
+func (b *brain) booting() []*core.Host {
+	var out []*core.Host
+	for name, r := range b.lead.rented {
+		t := b.types[r.typ]
+		// One that is well past its usual time is not counted on any more.
+		if r.up || t == nil || b.lead.leaving[name] || b.now.Sub(r.since) > config.Seconds(usualBoot*t.BootS) {
+			continue
+		}
+		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
+		out = append(out, &core.Host{ID: -1, Type: r.typ, Zone: r.zone, Spot: r.spot, Size: size, Free: size, Booting: true})
+	}
+	for o, n := range b.lead.renting {
+		t := b.types[o.Type]
+		for range n {
+			size := core.Amount(t.CPUs, t.GPUs, t.RAM)
+			out = append(out, &core.Host{ID: -1, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Size: size, Free: size, Booting: true})
+		}
+	}
+	return out
+}
+
+func (b *brain) offers() []core.Priced {
+	var out []core.Priced
+	for _, t := range b.types {
+		for _, z := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				if spot && !b.op.Spot {
+					continue
+				}
+				o := core.Offer{Type: t.Name, Zone: z, Spot: spot}
+				if b.now.Before(b.lead.refused[o]) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				out = append(out, core.Priced{Offer: o, Size: core.Amount(t.CPUs, t.GPUs, t.RAM), Price: price, BootS: t.BootS})
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y core.Priced) int {
+		return cmp.Or(cmp.Compare(x.Type, y.Type), cmp.Compare(x.Zone, y.Zone), boolCmp(x.Spot, y.Spot))
+	})
+	return out
+}
+
+// idleFor is how long a machine may be unused before it is returned: as long as
+// its idling costs no more than it would to boot an ordinary one in its place,
+// so that waiting is never more than twice as dear as knowing the future.
+func (b *brain) idleFor(t *wire.MachineType, spot bool) time.Duration {
+	s := t.BootS * b.op.IdleBoots
+	if spot && t.SpotPrice > 0 {
+		s *= max(t.Price/t.SpotPrice, 1)
+	}
+	return max(config.Seconds(s), 10*time.Second)
+}
+
+// returnIdle releases machines that are idle, overdue, silent or suspect.
+func (b *brain) returnIdle(hosts []*core.Host) {
+	var names []string
+	wanted := map[string]bool{}
+	for _, h := range hosts {
+		m := b.byIdx[h.ID]
+		if len(m.bound) > 0 || h.Touched {
+			wanted[m.name] = true
+			continue
+		}
+		t := b.lead.idle[m.name]
+		if t.IsZero() {
+			b.lead.idle[m.name] = b.now
+		} else if b.closing[m.name] || b.now.Sub(t) > b.idleFor(b.types[m.typ], m.spot) {
+			names = append(names, m.name)
+		}
+	}
+	for name := range wanted {
+		delete(b.lead.idle, name)
+	}
+	for name, r := range b.lead.rented {
+		t := b.types[r.typ]
+		// Only its part's owner can tell whether a machine is up: after a
+		// take-over a machine may be old and busy and not have reported yet.
+		// One that no owner tells of any more died while its part, or itself,
+		// changed hands.
+		since := r.since
+		if r.up {
+			since = r.seen
+		}
+		if t != nil && b.now.Sub(since) > b.bootLimit(t) && b.vouched(b.home(b.machine(name))) {
+			names = append(names, name)
+		}
+	}
+	bad := func(m *machine, flags uint8) {
+		if flags&mesh.Silent != 0 || flags&mesh.Suspect != 0 && (len(m.bound) == 0 || b.now.Sub(m.suspectAt) > 15*time.Second) {
+			names = append(names, m.name)
+		}
+	}
+	b.eachVouched(bad)
+	b.release(names)
+}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -132,6 +132,18 @@
 	return n, finished
 }
 
+// waits tells whether tasks of the job have not been dealt yet, or stand back.
+func (j *job) waits() bool {
+	n := 0
+	for _, r := range j.recs {
+		if r.cap != 0 {
+			return true
+		}
+		n += len(r.entries) + r.done
+	}
+	return n < j.spec.Tasks
+}
+
 // begun tells whether a task of the job has ever been placed.
 func (j *job) begun() bool {
 	for _, r := range j.recs {
--- /dev/null
+++ b/internal/controller/rentals.go
@@ -0,0 +1,242 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/cloud"
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// rent asks the cloud for machines. The name is unique for all time: the
+// leader's term never comes again.
+func (b *brain) rent(o core.Offer, n int) {
+	if b.lead.renting[o] > 0 {
+		return
+	}
+	b.lead.rentals++
+	epoch := b.lead.epoch
+	req := wire.RentRequest{Request: fmt.Sprintf("r-%d-%d", epoch, b.lead.rentals), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: n}
+	b.lead.renting[o] = n
+	started := b.now
+	b.cloudCall(func() {
+		names, err := b.cl.Rent(b.ctx, req)
+		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) && !errors.Is(err, cloud.ErrRefused) {
+			names, err = b.cl.Rent(b.ctx, req) // unanswered: the same name rents nothing twice
+		}
+		b.post(func() {
+			if b.lead.epoch != epoch {
+				return
+			}
+			delete(b.lead.renting, o)
+			if err == nil {
+				for _, name := range names {
+					if b.lead.rented[name] == nil {
+						b.lead.rented[name] = &rented{typ: o.Type, zone: o.Zone, spot: o.Spot, since: started}
+					}
+				}
+				b.log.Info("machines rented", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", n, "got", len(names))
+			}
+			if err == nil && len(names) == n {
+				delete(b.lead.backoff, o)
+				return
+			}
+			// Each type, zone and kind is refused apart from the others.
+			d := min(max(2*b.lead.backoff[o], 5*time.Second), 40*time.Second)
+			if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+				d = 3 * time.Second
+			}
+			b.lead.backoff[o], b.lead.refused[o] = d, b.now.Add(d)
+			b.log.Debug("rental not filled", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", n, "err", err)
+		})
+	})
+}
+
+// cloudCall queues a call to the cloud; false if too many wait.
+func (b *brain) cloudCall(f func()) bool {
+	select {
+	case b.cloudQ <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// release returns machines. Once the cloud has answered they are gone with all
+// that was on them, which is stored for their parts' owners to act on.
+func (b *brain) release(names []string) {
+	names = slices.DeleteFunc(names, func(n string) bool { return b.lead.leaving[n] })
+	slices.Sort(names)
+	names = slices.Compact(names)
+	if len(names) == 0 {
+		return
+	}
+	names = names[:min(len(names), cloud.MaxRelease)]
+	for _, n := range names {
+		b.lead.leaving[n] = true
+	}
+	epoch := b.lead.epoch
+	if !b.cloudCall(func() {
+		err := b.cl.Release(b.ctx, names)
+		b.post(func() {
+			if b.lead.epoch != epoch {
+				return
+			}
+			if err != nil {
+				b.log.Debug("release failed", "machines", len(names), "err", err)
+				for _, n := range names {
+					delete(b.lead.leaving, n)
+				}
+				return
+			}
+			b.log.Info("machines released", "machines", names)
+			b.markGone(names)
+		})
+	}) {
+		for _, n := range names {
+			delete(b.lead.leaving, n)
+		}
+	}
+}
+
+// markGone stores that machines are gone.
+func (b *brain) markGone(names []string) {
+	for _, n := range names {
+		r := b.lead.rented[n]
+		delete(b.lead.rented, n)
+		delete(b.lead.idle, n)
+		delete(b.lead.closing, n)
+		if r != nil && !r.up && len(b.machine(n).bound) == 0 {
+			b.machine(n).gone = true // it never was: nobody needs to know
+			continue
+		}
+		term, epoch := b.lead.term, b.lead.epoch
+		b.write(&store.Unit{
+			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: preGone + n}},
+			Then: []wire.Change{{Put: preGone + n, Value: mustJSON(true)}},
+		}, func(err error) {
+			if err != nil && b.lead.epoch == epoch {
+				delete(b.lead.leaving, n) // it stays silent and is released again
+			}
+		})
+	}
+}
+
+// tendCloud keeps the list of machines and the types current.
+func (b *brain) tendCloud() {
+	if b.now.Sub(b.lead.typesAt) > time.Minute || len(b.types) == 0 && b.now.Sub(b.lead.typesAt) > 2*time.Second {
+		if b.leads() || len(b.types) == 0 && b.loaded {
+			b.lead.typesAt = b.now
+			b.cloudCall(b.fetchTypes)
+		}
+	}
+	if !b.leads() {
+		return
+	}
+	every := max(config.Seconds(b.cfg.Settings.Cloud.ListLagS)/2, 2*time.Second)
+	if !b.lead.listBusy && b.now.Sub(b.lead.listAt) > every {
+		b.lead.listBusy, b.lead.listAt = true, b.now
+		epoch := b.lead.epoch
+		if !b.cloudCall(func() {
+			list, err := b.cl.List(b.ctx)
+			b.post(func() {
+				if b.lead.epoch != epoch {
+					return
+				}
+				b.lead.listBusy = false
+				if err != nil {
+					b.log.Debug("machine list", "err", err)
+					return
+				}
+				b.takeList(list)
+			})
+		}) {
+			b.lead.listBusy = false
+		}
+	}
+	b.clearGone()
+}
+
+// clearGone deletes markers of machines that are gone, once nothing is bound to
+// the machine any more and no list can show it. One transaction at a time: asked
+// for again at each tick until the first was stored, a hundred markers took up
+// all that the state service allows.
+func (b *brain) clearGone() {
+	if b.lead.clearing || b.wr.Backlog() > time.Second {
+		return
+	}
+	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}}}
+	keep := 2*time.Minute + 4*config.Seconds(b.cfg.Settings.Cloud.ListLagS)
+	for n, at := range b.gone {
+		if len(u.Then) == b.cfg.Settings.State.TxnOps/4 {
+			break
+		}
+		if m := b.machines[n]; b.now.Sub(at) > keep && (m == nil || len(m.bound) == 0) {
+			u.Then = append(u.Then, wire.Change{Delete: preGone + n})
+		}
+	}
+	if len(u.Then) == 0 {
+		return
+	}
+	epoch := b.lead.epoch
+	b.lead.clearing = true
+	b.write(u, func(error) {
+		if b.lead.epoch == epoch {
+			b.lead.clearing = false
+		}
+	})
+}
+
+func (b *brain) fetchTypes() {
+	list, err := b.cl.Types(b.ctx)
+	b.post(func() {
+		if err != nil || len(list) == 0 {
+			b.log.Debug("machine types", "err", err)
+			return
+		}
+		b.putTypes(list)
+		if !b.typesKey {
+			b.typesKey = true
+			b.write(&store.Unit{If: []wire.Condition{{Key: keyTypes}}, Then: []wire.Change{{Put: keyTypes, Value: mustJSON(list)}}}, func(error) {})
+		}
+	})
+}
+
+// takeList takes the cloud's list in: machines that failed are gone, ones that
+// nobody knows of are used.
+func (b *brain) takeList(list []wire.CloudMachine) {
+	b.lead.listed = true
+	var failed []string
+	lag := config.Seconds(2 * b.cfg.Settings.Cloud.ListLagS)
+	listed := map[string]bool{}
+	for i := range list {
+		x := &list[i]
+		listed[x.Name] = true
+		if m := b.machines[x.Name]; m != nil && m.gone || b.lead.leaving[x.Name] {
+			continue
+		}
+		if x.State == wire.MachineFailed {
+			failed = append(failed, x.Name)
+			continue
+		}
+		r := b.lead.rented[x.Name]
+		if r == nil {
+			r = &rented{typ: x.Type, zone: x.Zone, spot: x.Spot, since: b.now.Add(-config.Seconds(x.AgeS))}
+			b.lead.rented[x.Name] = r
+		}
+		r.listed = true
+	}
+	for name, r := range b.lead.rented {
+		// One that was listed and is no more has been taken; one that never was
+		// after twice the lag does not exist.
+		if !listed[name] && (r.listed || b.now.Sub(r.since) > lag+10*time.Second) && !r.up {
+			delete(b.lead.rented, name)
+		}
+	}
+	b.release(failed)
+}
--- /dev/null
+++ b/internal/core/deal_test.go
@@ -0,0 +1,299 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const testParts = 3
+
+func drawClaim(t *rapid.T, name string) Claim {
+	return Claim{Level: rapid.IntRange(0, 3).Draw(t, name+" level"), Own: rapid.Bool().Draw(t, name+" own"), Team: int32(rapid.IntRange(0, 2).Draw(t, name+" team"))}
+}
+
+// drawHosts draws a fleet whose hosts hold no more than they have.
+func drawHosts(t *rapid.T) []*Host {
+	var hosts []*Host
+	for i := range rapid.IntRange(0, 8).Draw(t, "hosts") {
+		size := Amount(float64(rapid.SampledFrom([]int{4, 16}).Draw(t, "cpus")), 0, 64)
+		h := &Host{ID: int32(i), Type: fmt.Sprint(size.CPU), Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "spot"),
+			Part: rapid.IntRange(0, testParts-1).Draw(t, "part"), Size: size, Free: size}
+		for range rapid.IntRange(0, 6).Draw(t, "claims") {
+			c := HeldCell{Claim: drawClaim(t, "held"), Size: Amount(float64(rapid.IntRange(1, 4).Draw(t, "held cpus")), 0, 1)}
+			if h.Free.Holds(c.Size) {
+				h.Free = h.Free.Minus(c.Size)
+				h.Claims = append(h.Claims, c)
+			}
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+// room is how many tasks fit on the allowed hosts of each part at the most, when
+// all that the claim evicts is stopped.
+func (d *Dealing) room(hosts []*Host) []int {
+	out := make([]int, testParts)
+	for _, h := range hosts {
+		if !d.Can(h) {
+			continue
+		}
+		free := h.Free
+		for _, c := range h.Claims {
+			if d.Claim.Evicts(c.Claim) {
+				free = free.Plus(c.Size)
+			}
+		}
+		out[h.Part] += free.Fits(d.Need, 1000)
+	}
+	return out
+}
+
+func drawDealing(t *rapid.T) *Dealing {
+	zone, spot := rapid.SampledFrom([]string{"", "a"}).Draw(t, "only zone"), rapid.Bool().Draw(t, "spot may be")
+	return &Dealing{Need: Amount(float64(rapid.IntRange(1, 5).Draw(t, "need")), 0, 1), Count: rapid.IntRange(1, 40).Draw(t, "count"),
+		Claim: drawClaim(t, "own"), Tight: rapid.Bool().Draw(t, "tight"),
+		Can: func(h *Host) bool { return (zone == "" || h.Zone == zone) && (spot || !h.Spot) }}
+}
+
+// What is dealt never exceeds what was asked, goes only to parts with a host that
+// the tasks may be on, evicts only what the claim strictly exceeds, and beyond the
+// room that there is goes no further than the allowance and one record. Where the
+// limit is tight it stays within the room. The same input gives the same plan.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, d := drawHosts(t), drawDealing(t)
+		ahead := make([]int, testParts)
+		for p := range ahead {
+			ahead[p] = rapid.IntRange(-5, 10).Draw(t, "ahead")
+		}
+		room, allowance := d.room(hosts), append([]int(nil), ahead...)
+		again, aheadAgain := Clone(hosts), append([]int(nil), ahead...)
+		got := d.Spread(hosts, ahead)
+		if other := d.Spread(again, aheadAgain); !cmp.Equal(got, other) {
+			t.Fatalf("%v, and again %v", got, other)
+		}
+		sum := 0
+		for p, n := range got {
+			sum += n
+			most := room[p]
+			if !d.Tight {
+				most += max(allowance[p], 0) + LeastDealt
+			}
+			if n > most || n > 0 && !partCan(hosts, p, d.Can) {
+				t.Fatalf("part %d with room for %d is dealt %d", p, room[p], n)
+			}
+		}
+		if sum > d.Count {
+			t.Fatalf("%d of %d tasks are dealt", sum, d.Count)
+		}
+		for _, h := range hosts {
+			if h.Free != h.Free.positive() {
+				t.Fatalf("host %d has %v left", h.ID, h.Free)
+			}
+		}
+	})
+}
+
+// A group is dealt whole to one part that can hold it, or not at all, in which
+// case nothing has changed; it is not refused where one part has free room.
+func TestWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, d := drawHosts(t), drawDealing(t)
+		d.Count = rapid.IntRange(1, 8).Draw(t, "members")
+		before, room := Clone(hosts), d.room(hosts)
+		free := make([]int, testParts)
+		for _, h := range hosts {
+			if d.Can(h) {
+				free[h.Part] += h.Free.Fits(d.Need, 1000)
+			}
+		}
+		p, ok := d.Whole(hosts, testParts)
+		switch {
+		case ok && room[p] < d.Count:
+			t.Fatalf("part %d has room for %d of %d", p, room[p], d.Count)
+		case !ok && !cmp.Equal(before, Clone(hosts)):
+			t.Fatal("a refused group leaves traces")
+		case !ok:
+			for p := range free {
+				if free[p] >= d.Count {
+					t.Fatalf("part %d has free room for the group", p)
+				}
+			}
+		}
+		for i, h := range hosts {
+			for _, c := range before[i].Claims {
+				if !d.Claim.Evicts(c.Claim) && !containsClaim(h.Claims, c) {
+					t.Fatalf("%v evicts %v", d.Claim, c.Claim)
+				}
+			}
+		}
+	})
+}
+
+func containsClaim(list []HeldCell, c HeldCell) bool {
+	for _, x := range list {
+		if x == c {
+			return true
+		}
+	}
+	return false
+}
+
+// Squeezing stops no task of equal or higher work and no more than is lacking,
+// and leaves nothing lacking that it could have got.
+func TestSqueeze(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var from []Standing
+		for range rapid.IntRange(0, 6).Draw(t, "records") {
+			running := rapid.IntRange(0, 5).Draw(t, "running")
+			from = append(from, Standing{Level: rapid.IntRange(0, 3).Draw(t, "level"), Running: running,
+				May: running + rapid.IntRange(0, 5).Draw(t, "waiting"), Need: Amount(float64(rapid.IntRange(1, 3).Draw(t, "cpus")), 0, 1), Fixed: rapid.Bool().Draw(t, "fixed")})
+		}
+		level, lack := rapid.IntRange(0, 3).Draw(t, "own level"), Amount(float64(rapid.IntRange(0, 20).Draw(t, "lack")), 0, 0)
+		rest, largest, more := lack.CPU, int64(0), int64(0)
+		for i, may := range Squeeze(from, level, lack) {
+			s := from[i]
+			if may < 0 {
+				may = s.May
+			}
+			if may > s.May || may < s.Running && s.Level >= level {
+				t.Fatalf("%+v may run %d for level %d", s, may, level)
+			}
+			rest -= s.Need.CPU * int64(s.May-may)
+			largest = max(largest, s.Need.CPU)
+			if s.Level < level {
+				more += s.Need.CPU * int64(may)
+			} else if !s.Fixed {
+				more += s.Need.CPU * int64(max(0, may-s.Running))
+			}
+		}
+		if rest <= -max(largest, 1) || rest > 0 && more > 0 {
+			t.Fatalf("of %d, %d is still lacking; %d more could stand back", lack.CPU, rest, more)
+		}
+	})
+}
+
+// Whatever small work keeps coming, every job begins and ends: once it has waited
+// long enough it goes before all that came later.
+func TestNothingWaitsForEver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) *Job {
+			return &Job{Deadline: rapid.Float64Range(1, 500).Draw(t, name+" deadline"), Estimate: rapid.Float64Range(1, 200).Draw(t, name+" estimate"),
+				Left: rapid.Float64Range(1, 1e6).Draw(t, name+" left"), Begun: rapid.Bool().Draw(t, name+" begun"), Age: rapid.Float64Range(0, 60).Draw(t, name+" age")}
+		}
+		old, young := draw("old"), draw("young")
+		old.Age = waitFactor*old.Deadline + beginWithin + 1
+		if old.Urgency().Compare(young.Urgency()) >= 0 {
+			t.Fatalf("%+v still stands back behind %+v", old, young)
+		}
+		old.Begun, old.Age = false, comeForward+1
+		if old.Urgency().Compare(young.Urgency()) >= 0 {
+			t.Fatalf("%+v has not begun and stands back behind %+v", old, young)
+		}
+	})
+}
+
+// No machine is rented of a type, zone or kind that no want allows, what is
+// planned and what is there hold what is asked for where an offer can, and the
+// same input gives the same plan.
+func TestFleet(t *testing.T) {
+	offers := []Priced{
+		{Offer: Offer{Type: "4000", Zone: "a"}, Size: Amount(4, 0, 64), Price: 0.4, BootS: 50},
+		{Offer: Offer{Type: "16000", Zone: "a"}, Size: Amount(16, 0, 64), Price: 1, BootS: 25},
+		{Offer: Offer{Type: "16000", Zone: "b", Spot: true}, Size: Amount(16, 0, 64), Price: 0.3, BootS: 25},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := drawHosts(t)
+		zone, spot := rapid.SampledFrom([]string{"", "a", "c"}).Draw(t, "only zone"), rapid.Bool().Draw(t, "spot may be")
+		w := Want{Class: "x", Need: Amount(float64(rapid.IntRange(1, 4).Draw(t, "need")), 0, 1), Count: rapid.IntRange(1, 60).Draw(t, "count"), Service: true,
+			Allows: func(_, z string, s bool) bool { return (zone == "" || z == zone) && (spot || !s) }}
+		plan := func() *Fleet {
+			f := &Fleet{All: Clone(hosts), Offers: offers, Like: map[string]int{}, Plan: map[Offer]int{}}
+			f.Serve(w)
+			return f
+		}
+		f := plan()
+		if d := cmp.Diff(f.Plan, plan().Plan); d != "" {
+			t.Fatal(d)
+		}
+		room := 0
+		for _, h := range hosts {
+			if w.on(h) {
+				room += h.Free.Fits(w.Need, w.Count)
+			}
+		}
+		rented := 0
+		for o, n := range f.Plan {
+			if !w.Allows(o.Type, o.Zone, o.Spot) {
+				t.Fatalf("%d of %+v are rented", n, o)
+			}
+			for _, x := range offers {
+				if x.Offer == o {
+					rented += n * x.Size.Fits(w.Need, 1000)
+				}
+			}
+		}
+		if f.Unmet != (room < w.Count) || zone != "c" && room+rented < w.Count || room >= w.Count && rented > 0 {
+			t.Fatalf("room for %d, rented for %d, asked %d, unmet %v", room, rented, w.Count, f.Unmet)
+		}
+	})
+}
+
+// Only what has been free for a whole window counts as surplus.
+func TestSurplus(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Surplus
+		var at []float64
+		var free []int64
+		now := 0.0
+		for range 30 {
+			now += rapid.Float64Range(0.1, 3).Draw(t, "step")
+			at, free = append(at, now), append(free, rapid.Int64Range(-5, 50).Draw(t, "free"))
+			least, ok := s.Note(now, free[len(free)-1], 10)
+			for i := range at {
+				if now-at[i] <= 10 && free[i] < least {
+					t.Fatalf("%d was free at %v, %d is the least at %v", free[i], at[i], least, now)
+				}
+			}
+			if ok && now-at[0] < 9 {
+				t.Fatalf("surplus after %v", now-at[0])
+			}
+		}
+	})
+}
+
+// fleetOf is a fleet of n hosts of two types, a tenth with room, all running
+// arrays.
+func fleetOf(n int) []*Host {
+	hosts := make([]*Host, n)
+	for i := range hosts {
+		size := Amount(float64(4+12*(i%2)), 0, 64)
+		h := &Host{ID: int32(i), Type: fmt.Sprint(i % 2), Zone: "a", Spot: i%3 == 0, Part: i % 5, Size: size, Free: size}
+		for h.Free.CPU > 0 && i%10 != 0 {
+			h.Free = h.Free.Minus(Amount(2, 0, 1))
+			h.Claims = append(h.Claims, HeldCell{Claim: Claim{Level: 1}, Size: Amount(2, 0, 1)})
+		}
+		hosts[i] = h
+	}
+	return hosts
+}
+
+// BenchmarkSpread deals an array and a service to fleets of several sizes.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			hosts := fleetOf(n)
+			for b.Loop() {
+				trial := Clone(hosts)
+				d := Dealing{Need: Amount(2, 0, 4), Count: 40, Claim: Claim{Level: 1}, Can: func(h *Host) bool { return !h.Booting }}
+				d.Spread(trial, make([]int, 5))
+				d.Count, d.Claim.Level = 1, 2
+				d.Whole(trial, 5)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,161 @@
+package core
+
+import (
+	"math"
+	"slices"
+)
+
+// Want is a number of like tasks that found no room: one decision for all.
+type Want struct {
+	Class    string
+	Need     Res
+	Count    int
+	Service  bool
+	Estimate float64 // of one task's run time, seconds
+	Window   float64 // within which an array's tasks should be through
+	Slack    float64 // until the deadline
+	Allows   func(typ, zone string, spot bool) bool
+}
+
+func (w *Want) on(h *Host) bool { return w.Allows(h.Type, h.Zone, h.Spot) }
+
+// bootPatience is the time over which a machine's boot is spread when offers are
+// compared, in seconds: about how long machines stay.
+const bootPatience = 100
+
+// Fleet plans what to rent.
+type Fleet struct {
+	// All are the machines that are up or coming up; planned ones are added.
+	All    []*Host
+	Offers []Priced
+	// Like is how many tasks of each class run now.
+	Like map[string]int
+	// Plan is how many machines of each offer are to be rented.
+	Plan map[Offer]int
+	// Unmet: some want found no room on what there is or comes up.
+	Unmet bool
+}
+
+// Serve has a want take what room there is, and rents for what is left.
+func (f *Fleet) Serve(w Want) {
+	n := w.Count
+	if !w.Service && w.Window > 0 {
+		n = min(n, int(math.Ceil(float64(n)*max(w.Estimate, 5)/w.Window)))
+	}
+	for _, k := range Take(f.All, w.on, w.Need, n) {
+		n -= k
+	}
+	if n <= 0 {
+		return
+	}
+	f.Unmet = true
+	var fitting, late []Priced
+	for _, o := range f.Offers {
+		switch {
+		case !w.Allows(o.Type, o.Zone, o.Spot):
+		case !w.Service && !o.Spot && w.Slack < o.BootS+w.Estimate:
+			// An ordinary machine that is up too late to help an array keep its
+			// deadline is dear for nothing; spot ones are worth having anyway.
+			late = append(late, o)
+		default:
+			fitting = append(fitting, o)
+		}
+	}
+	if len(fitting) == 0 {
+		// The work must be done some time, at leisure: once there are machines
+		// for such tasks it waits for them.
+		if slices.ContainsFunc(f.All, w.on) {
+			return
+		}
+		fitting, n = late, (n+7)/8
+	}
+	o, k := Choose(fitting, w.Need, n, n+f.Like[w.Class]/4, bootPatience)
+	if k == 0 {
+		return
+	}
+	for range k {
+		f.All = append(f.All, &Host{ID: -1, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Size: o.Size, Free: o.Size, Booting: true})
+	}
+	Take(f.All, w.on, w.Need, n)
+	f.Plan[o.Offer] += k
+}
+
+// FreeBelow counts room that claims below a level hold as free, since work of
+// that level would evict them.
+func FreeBelow(hosts []*Host, level int) {
+	for _, h := range hosts {
+		for _, c := range h.Claims {
+			if c.Claim.Level < level {
+				h.Free = h.Free.Plus(c.Size)
+			}
+		}
+	}
+}
+
+// Headroom is how many more like services room is kept for: the number of
+// services that run at a time varies by about its square root.
+func Headroom(services int, factor float64) int {
+	return int(math.Ceil(factor * math.Sqrt(float64(services))))
+}
+
+// Surplus remembers how many CPUs were free of late. Arrays are spread over what
+// there is, so that few machines are ever idle by themselves: when more is free
+// all the time than a machine holds, one without services can be emptied.
+type Surplus struct {
+	samples []surplus
+}
+
+type surplus struct {
+	at  float64
+	cpu int64
+}
+
+// Reset forgets: something is short.
+func (s *Surplus) Reset() { s.samples = nil }
+
+// Note notes how much is free at a time, in seconds, and tells the least of the
+// last window; false if it has not been noted for as long yet.
+func (s *Surplus) Note(at float64, free int64, window float64) (least int64, ok bool) {
+	s.samples = append(s.samples, surplus{at, free})
+	for at-s.samples[0].at > window {
+		s.samples = s.samples[1:]
+	}
+	least = free
+	for _, x := range s.samples {
+		least = min(least, x.cpu)
+	}
+	return least, at-s.samples[0].at >= window*9/10
+}
+
+// Spend counts down what was noted: a machine is being emptied.
+func (s *Surplus) Spend(cpu int64) {
+	for i := range s.samples {
+		s.samples[i].cpu -= cpu
+	}
+}
+
+// Used is what claims hold of a host.
+func (h *Host) Used() Res {
+	used := Res{}
+	for _, c := range h.Claims {
+		used = used.Plus(c.Size)
+	}
+	return used
+}
+
+// Emptiest is the ordinary host that is used least, of those that hold no more
+// than the given CPUs and nothing of level or above; nil if there is none.
+func Emptiest(hosts []*Host, cpus int64, level int, can func(*Host) bool) *Host {
+	var best *Host
+	bestUsed := int64(0)
+	for _, h := range hosts {
+		if h.Spot || h.Size.CPU > cpus || !can(h) ||
+			slices.ContainsFunc(h.Claims, func(c HeldCell) bool { return c.Claim.Level >= level }) {
+			continue
+		}
+		if used := h.Used().CPU; best == nil || used*best.Size.CPU < bestUsed*h.Size.CPU {
+			best, bestUsed = h, used
+		}
+	}
+	return best
+}
