Releases go in batches, owners release by themselves when they don't hear the leader; claims don't leak

A test found cells that no record knew of: a record moved by the leader of the same process kept its claims in its old part, and the late result of a write brought a deleted record back. Both have tests.

--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -68,8 +68,12 @@
 	send     func(frame []byte)
 	lead     leader
 	closing  map[string]bool // machines that the leader wants to return
-	outcomes map[core.Task]outcome
-	stepDue  bool
+	// Machines that are being released, and those of them not asked for yet.
+	leaving   map[string]bool
+	toRelease []string
+	releasing bool
+	outcomes  map[core.Task]outcome
+	stepDue   bool
 	// yieldUntil: this controller gave its rights up and takes none before then.
 	yieldUntil time.Time
 	metrics    *metrics
@@ -229,6 +233,11 @@
 	if b.vers[key] >= stamp || b.dropped[key] >= stamp {
 		return
 	}
+	if b.vers[key] == 0 && stamp <= b.cursor {
+		// All changes up to the cursor are known, and the key is not there: it
+		// was deleted after this, which is the late result of a write of ours.
+		return
+	}
 	b.vers[key] = stamp
 	var err error
 	switch {
@@ -333,7 +342,7 @@
 	if j.fate != live {
 		b.retire(j)
 		for _, r := range j.recs {
-			b.cancelClaims(r)
+			b.cancelClaims(r, !r.writing)
 			for i := range r.entries {
 				if m := r.entries[i].m; m != nil {
 					b.kick(m)
@@ -412,7 +421,8 @@
 	}
 	if r.part != v.Part {
 		if r.part >= 0 {
-			b.cancelClaims(r)
+			// A binding of ours that is being stored fails, or came before.
+			b.cancelClaims(r, true)
 		}
 		r.since = b.now
 	}
@@ -479,8 +489,9 @@
 	}
 }
 
-// cancelClaims gives up what a record's tasks claim without a stored binding.
-func (b *brain) cancelClaims(r *rec) {
+// cancelClaims gives up what a record's tasks claim without a stored binding; of
+// cells whose binding may be on its way only if those, too, are void.
+func (b *brain) cancelClaims(r *rec, all bool) {
 	p := b.parts[r.part]
 	if p.term == 0 {
 		return
@@ -490,7 +501,7 @@
 		if g := p.cells.Waiting(t); g != nil {
 			p.cells.Cancel(g)
 		}
-		if _, ok := p.alloc[t]; ok && !r.writing {
+		if _, ok := p.alloc[t]; ok && all {
 			delete(p.alloc, t)
 			b.freeCell(p, t)
 		}
--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -130,3 +130,39 @@
 		t.Errorf("%d changes, %d of 9 may run", changes, r.may())
 	}
 }
+
+// A record moves to another part while a write of it is on its way and its tasks
+// have claimed cells. No cell stays taken: one that no record knew of would have
+// been lost until the part changed hands.
+func TestClaimsOfAMovedRecord(t *testing.T) {
+	b := lone(t)
+	p := b.parts[0]
+	b.takeReport(b.machine("host-1"), &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
+	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 2, CPUs: 2, RAM: 1, Team: "t", NoDeadline: true}}), 2)
+	key := groupKey("wk-1", 0)
+	b.put(key, raw(t, groupValue{Tasks: []entryValue{{Num: 0}, {Num: 1}}}), 3)
+	r := b.recByKey[key]
+	b.place(p, r)
+	if len(p.alloc) != 2 {
+		t.Fatalf("%d tasks have claimed cells", len(p.alloc))
+	}
+	r.writing = true // the leader's move, of this very process
+	b.put(key, raw(t, groupValue{Part: 1, Tasks: []entryValue{{Num: 0}, {Num: 1}}}), 4)
+	if len(p.alloc) != 0 || len(p.cells.Tasks()) != 0 {
+		t.Errorf("%d claims and %d cells are left", len(p.alloc), len(p.cells.Tasks()))
+	}
+}
+
+// The result of a write of ours may come after a later deletion is known: the
+// record must not come back to life.
+func TestLateResultOfADeletedRecord(t *testing.T) {
+	b := lone(t)
+	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 1, CPUs: 1, Team: "t"}}), 2)
+	key := groupKey("wk-1", 0)
+	b.put(key, raw(t, groupValue{Tasks: []entryValue{{Num: 0}}}), 3)
+	b.events(&wire.Events{Revision: 9, Events: []wire.Event{{Delete: key, Version: 9}}})
+	b.put(key, raw(t, groupValue{Done: 1}), 5)
+	if b.recByKey[key] != nil || len(b.jobs["wk-1"].recs) != 0 {
+		t.Error("a deleted record is back")
+	}
+}
--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -18,7 +18,7 @@
 	var out []*core.Host
 	add := func(m *machine, flags uint8) {
 		t := b.types[m.typ]
-		if t == nil || m.gone || b.lead.leaving[m.name] {
+		if t == nil || m.gone || b.leaving[m.name] {
 			return
 		}
 		r := b.lead.rented[m.name]
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -23,7 +23,6 @@
 	closing   map[string]bool // being emptied
 	surplus   core.Surplus    // free CPUs of late
 	rented    map[string]*rented
-	leaving   map[string]bool // being released
 	idle      map[string]time.Time
 	refused   map[core.Offer]time.Time // no requests before then
 	backoff   map[core.Offer]time.Duration
@@ -37,7 +36,7 @@
 }
 
 func (b *brain) leaderGained(stamp uint64) {
-	b.lead = leader{epoch: stamp, term: stamp, since: b.now, rented: map[string]*rented{}, leaving: map[string]bool{}, idle: map[string]time.Time{},
+	b.lead = leader{epoch: stamp, term: stamp, since: b.now, rented: map[string]*rented{}, idle: map[string]time.Time{},
 		refused: map[core.Offer]time.Time{}, backoff: map[core.Offer]time.Duration{}, renting: map[core.Offer]int{}}
 	// A former leader's late writes fail by its key's version; what it did
 	// store is read before anything is dealt.
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -181,7 +181,7 @@
 		if !allowed(j, r.zone, m.typ, m.zone, m.spot) || !b.up(m, p) || !m.notice.IsZero() || m.suspect || b.now.Before(m.cooling) || m.failed[r.job.id] {
 			return -1
 		}
-		if b.closing[m.name] || b.lead.leaving[m.name] || b.lends[m.name] != nil && p.n != b.lentPart() {
+		if b.closing[m.name] || b.leaving[m.name] || b.lends[m.name] != nil && p.n != b.lentPart() {
 			return -1
 		}
 		s := 1000.0
@@ -312,6 +312,9 @@
 		if ending {
 			job.ending = false
 		}
+		if job.fate != live && r.part == p.n {
+			b.cancelClaims(r, true) // what came to it while the write was on its way
+		}
 		if p.term != term && err == nil {
 			return
 		}
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -140,7 +140,7 @@
 	for name, r := range b.lead.rented {
 		t := b.types[r.typ]
 		// One that is well past its usual time is not counted on any more.
-		if r.up || t == nil || b.lead.leaving[name] || b.now.Sub(r.since) > config.Seconds(usualBoot*t.BootS) {
+		if r.up || t == nil || b.leaving[name] || b.now.Sub(r.since) > config.Seconds(usualBoot*t.BootS) {
 			continue
 		}
 		size := core.Amount(t.CPUs, t.GPUs, t.RAM)
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"eiderhitch/internal/cloud"
@@ -68,63 +67,98 @@
 }
 
 // release returns machines. Once the cloud has answered they are gone with all
-// that was on them, which is stored for their parts' owners to act on.
+// that was on them, which is stored for their parts' owners to act on. One call
+// is on its way at a time, and the next takes all that have come up meanwhile:
+// the cloud allows few calls, and a call for each machine had the last of forty
+// dead ones wait for twenty seconds.
 func (b *brain) release(names []string) {
-	names = slices.DeleteFunc(names, func(n string) bool { return b.lead.leaving[n] })
-	slices.Sort(names)
-	names = slices.Compact(names)
-	if len(names) == 0 {
-		return
-	}
-	names = names[:min(len(names), cloud.MaxRelease)]
 	for _, n := range names {
-		b.lead.leaving[n] = true
+		if !b.leaving[n] {
+			b.leaving[n] = true
+			b.toRelease = append(b.toRelease, n)
+		}
 	}
-	epoch := b.lead.epoch
-	if !b.cloudCall(func() {
-		err := b.cl.Release(b.ctx, names)
+	if b.releasing || len(b.toRelease) == 0 {
+		return
+	}
+	batch := b.toRelease[:min(len(b.toRelease), cloud.MaxRelease)]
+	b.toRelease = b.toRelease[len(batch):]
+	b.releasing = b.cloudCall(func() {
+		err := b.cl.Release(b.ctx, batch)
 		b.post(func() {
-			if b.lead.epoch != epoch {
-				return
-			}
+			b.releasing = false
 			if err != nil {
-				b.log.Debug("release failed", "machines", len(names), "err", err)
-				for _, n := range names {
-					delete(b.lead.leaving, n)
-				}
-				return
+				b.log.Debug("release failed", "machines", len(batch), "err", err)
+				b.stay(batch)
+			} else {
+				b.log.Info("machines released", "machines", batch)
+				b.markGone(batch)
 			}
-			b.log.Info("machines released", "machines", names)
-			b.markGone(names)
+			b.release(nil)
 		})
-	}) {
-		for _, n := range names {
-			delete(b.lead.leaving, n)
-		}
+	})
+	if !b.releasing {
+		b.stay(batch)
 	}
 }
 
-// markGone stores that machines are gone.
+// stay forgets that machines were to be released: if need be they are again.
+func (b *brain) stay(names []string) {
+	for _, n := range names {
+		delete(b.leaving, n)
+	}
+}
+
+// markGone stores that machines are gone, by whatever right is held: the lead, or
+// the machine's part.
 func (b *brain) markGone(names []string) {
 	for _, n := range names {
-		r := b.lead.rented[n]
+		r, m := b.lead.rented[n], b.machine(n)
 		delete(b.lead.rented, n)
 		delete(b.lead.idle, n)
 		delete(b.lead.closing, n)
-		if r != nil && !r.up && len(b.machine(n).bound) == 0 {
-			b.machine(n).gone = true // it never was: nobody needs to know
+		if r != nil && !r.up && len(m.bound) == 0 {
+			m.gone = true // it never was: nobody needs to know
+			delete(b.leaving, n)
+			continue
+		}
+		right := wire.Condition{Key: keyLeader, Version: b.lead.term}
+		if p := b.parts[b.home(m)]; !b.lead.active && p.term != 0 {
+			right = wire.Condition{Key: p.key, Version: p.term}
+		}
+		if right.Version == 0 {
+			b.stay([]string{n}) // whoever has the right by now asks again
 			continue
 		}
-		term, epoch := b.lead.term, b.lead.epoch
-		b.write(&store.Unit{
-			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: preGone + n}},
+		b.write(&store.Unit{Early: true,
+			If:   []wire.Condition{right, {Key: preGone + n}},
 			Then: []wire.Change{{Put: preGone + n, Value: mustJSON(true)}},
-		}, func(err error) {
-			if err != nil && b.lead.epoch == epoch {
-				delete(b.lead.leaving, n) // it stays silent and is released again
+		}, func(error) { b.stay([]string{n}) })
+	}
+}
+
+// releaseSilent has an owner that hears nothing of the leader return its silent
+// machines itself. The leader could not know of them, and their tasks would wait
+// for the whole lease.
+func (b *brain) releaseSilent() {
+	if b.lead.active {
+		return
+	}
+	if s := b.siblings[b.holders[keyLeader].Node]; s != nil && b.now.Sub(s.at) < 4*time.Second {
+		return
+	}
+	var names []string
+	for _, p := range b.parts {
+		if !p.active || !b.fresh(b.op.RightTTL) {
+			continue
+		}
+		for _, m := range b.byIdx {
+			if b.home(m) == p.n && !m.heard.IsZero() && len(m.bound) > 0 && b.silent(m, p) {
+				names = append(names, m.name)
 			}
-		})
+		}
 	}
+	b.release(names)
 }
 
 // tendCloud keeps the list of machines and the types current.
@@ -217,7 +251,7 @@
 	for i := range list {
 		x := &list[i]
 		listed[x.Name] = true
-		if m := b.machines[x.Name]; m != nil && m.gone || b.lead.leaving[x.Name] {
+		if m := b.machines[x.Name]; m != nil && m.gone || b.leaving[x.Name] {
 			continue
 		}
 		if x.State == wire.MachineFailed {
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -105,7 +105,8 @@
 		}
 		r.stamp, r.lease, r.freeAt = ans.Revision, lease, time.Time{}
 		b.put(key, mustJSON(holder{b.cfg.Name, b.boot}), ans.Revision)
-		if r.stamp == 0 {
+		if b.vers[key] != ans.Revision { // lost again before the answer came
+			r.stamp, r.lease, r.freeAt = 0, 0, b.now
 			return
 		}
 		b.gained(key, ans.Revision)
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -50,7 +50,7 @@
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]time.Time{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
-		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{},
+		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
 		outcomes: map[core.Task]outcome{}, metrics: newMetrics(),
 	}
 	b.now = time.Now()
@@ -164,6 +164,7 @@
 			nextStatus = b.now.Add(statusEvery)
 			begun := time.Now()
 			b.probeSilent()
+			b.releaseSilent()
 			b.send(mesh.AppendStatus(nil, b.status()))
 			b.metrics.spend(dStatus, begun)
 		}
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -215,6 +216,27 @@
 			n.meshCut.Store(true)
 		}
 		time.Sleep(15 * time.Second)
+		// A machine of an owner that the leader can't hear dies: it is returned,
+		// and its replicas run elsewhere, before its lease alone would prove it.
+		var lost *standin.Worker
+		for _, w := range c.world.Cloud.Workers() {
+			for _, n := range c.nodes {
+				n.brain.ask(c.ctx, func() {
+					m := n.brain.machine(w.Name())
+					if p := n.brain.parts[n.brain.home(m)]; p.term != 0 && !n.brain.leads() && len(m.bound) > 0 {
+						lost = w
+					}
+				})
+			}
+		}
+		if lost == nil {
+			t.Fatal("all replicas are in the leader's part")
+		}
+		lost.Die()
+		time.Sleep(9 * time.Second)
+		if slices.Contains(c.world.Cloud.Workers(), lost) {
+			t.Error("a dead machine is still rented")
+		}
 		c.submit(jobBody("wk-8", wire.Service, "blue", "urgent", 2, 2, 0))
 		c.submit(jobBody("wk-9", wire.Array, "blue", "normal", 12, 2, 2))
 		c.await("the service runs", 30*time.Second, func() bool { return c.world.Running("wk-8") == 2 })
