--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -66,7 +66,11 @@
 			continue
 		}
 		if left := j.spec.Tasks - dealt; left > 0 {
-			if noRoom[j.sig] && !j.spec.Whole() {
+			must := b.order(j).MustDeal(j.pending())
+			if must > 0 {
+				left = min(left, must)
+			}
+			if noRoom[j.sig] && !j.spec.Whole() && must == 0 {
 				// Jobs alike are decided as a class: where one found no room,
 				// none behind it will.
 				n := limits[j.team].Room(j.need, left)
@@ -75,7 +79,7 @@
 			}
 			before := limits[j.team].Used
 			short[j.team] = short[j.team] || limits[j.team].Room(j.need, left) < left
-			w := b.dealJob(hosts, limits, j, dealt, left)
+			w := b.dealJob(hosts, limits, j, dealt, left, must > 0)
 			if w.Count > 0 {
 				wants = append(wants, w)
 				noRoom[j.sig] = true
@@ -192,7 +196,7 @@
 }
 
 // dealJob deals as many of a job's tasks as there is room for now.
-func (b *brain) dealJob(hosts []*core.Host, limits []core.Limit, j *job, dealt, left int) core.Want {
+func (b *brain) dealJob(hosts []*core.Host, limits []core.Limit, j *job, dealt, left int, must bool) core.Want {
 	spec := j.spec
 	lim := &limits[j.team]
 	room := lim.Room(j.need, left)
@@ -241,7 +245,7 @@
 		can := func(h *core.Host) bool {
 			return !h.Booting && (h.Part != b.lentPart() || b.lentFor(j)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
 		}
-		d := core.Dealing{Need: j.need, Count: n, Claim: claim, Can: can, Tight: tight}
+		d := core.Dealing{Need: j.need, Count: n, Claim: claim, Can: can, Tight: tight, Must: must}
 		if spec.Whole() {
 			// The whole group in one part, so that its cells are reserved
 			// together; its part's owner evicts where there is no free room.
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -144,6 +144,15 @@
 	return n < j.spec.Tasks
 }
 
+// pending counts the tasks that are dealt and neither placed nor done.
+func (j *job) pending() int {
+	n := 0
+	for _, r := range j.recs {
+		n += len(r.entries) - r.bound()
+	}
+	return n
+}
+
 // begun tells whether a task of the job has ever been placed.
 func (j *job) begun() bool {
 	for _, r := range j.recs {
--- a/internal/core/deal.go
+++ b/internal/core/deal.go
@@ -15,6 +15,9 @@
 	// Tight: the team's limit is short. What is dealt but can't run yet would
 	// hold the limit against others of the team.
 	Tight bool
+	// Must: the tasks are dealt where they may be, room or not, to take the next
+	// cells that come free.
+	Must bool
 }
 
 // Spread decides how many tasks of an array each part is dealt: what free room
@@ -44,6 +47,18 @@
 		}
 		give(h.Part, 1)
 	}
+	if d.Must && left == d.Count {
+		best := -1
+		for p := range ahead {
+			if (best < 0 || ahead[p] > ahead[best]) && partCan(hosts, p, d.Can) {
+				best = p
+			}
+		}
+		if best >= 0 {
+			ahead[best] -= left
+			give(best, left)
+		}
+	}
 	for p, k := range out {
 		// Few large records rather than many small ones; what is dealt too much
 		// now is dealt less ahead later.
