--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -452,11 +452,3 @@
 	b.write(u, func(err error) { b.leadWrote(epoch, err) })
 	return true
 }
-
-func sum(xs []int) int {
-	n := 0
-	for _, x := range xs {
-		n += x
-	}
-	return n
-}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -69,7 +69,7 @@
 // order is what a job's place among others depends on.
 func (b *brain) order(j *job) *core.Job {
 	_, finished := j.dealt()
-	return &core.Job{Level: j.spec.Priority, Whole: j.spec.Whole(), NoDeadline: j.spec.NoDeadline, Begun: j.begun(), Turn: core.Turn(b.now.Unix()),
+	return &core.Job{Whole: j.spec.Whole(), NoDeadline: j.spec.NoDeadline, Begun: j.begun(), Turn: core.Turn(b.now.Unix()),
 		Age: b.now.Sub(j.at).Seconds(), Estimate: j.spec.EstimateS, Deadline: j.spec.DeadlineS,
 		Left: float64(j.spec.Tasks-finished) * j.spec.EstimateS * j.spec.CPUs}
 }
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -4,7 +4,6 @@
 
 // Job is what the order of jobs depends on. Times are in seconds.
 type Job struct {
-	Level int
 	// Whole jobs are started together or not at all; like those without a
 	// deadline they go by their age alone.
 	Whole, NoDeadline bool
