--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -187,3 +187,35 @@
 		}
 	})
 }
+
+// Early units don't wait behind usual ones that were submitted before them.
+func TestEarlyGoFirst(t *testing.T) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+		w.State.WriteRPS = 60
+		var mu sync.Mutex
+		var order []bool
+		var wg sync.WaitGroup
+		for i := range 400 {
+			early := i >= 350
+			wg.Add(1)
+			u := &store.Unit{Early: early, Done: func(uint64, error) {
+				defer wg.Done()
+				mu.Lock()
+				defer mu.Unlock()
+				order = append(order, early)
+			}}
+			u.If, u.Then = put(fmt.Sprintf("k%d", i), 0)
+			wr.Submit(u)
+		}
+		wg.Wait()
+		late := 0
+		for _, early := range order[150:] {
+			if early {
+				late++
+			}
+		}
+		if late > 0 {
+			t.Errorf("%d of 50 early units are not among the first 150 of 400", late)
+		}
+	})
+}
