--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -290,10 +290,7 @@
 		}
 	}
 	r.endedAt, r.boundAt = time.Time{}, time.Time{}
-	// After all leases are over, services and arrays come back together: a change
-	// carries one service, or dozens of an array's tasks, which would hold up
-	// services for half a minute.
-	u := &store.Unit{Early: job.spec != nil && job.spec.Whole(), If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
+	u := &store.Unit{If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
 	if job.fate == live {
 		// Binding and completing race with a cancellation: only one can hold.
 		u.If = append(u.If, wire.Condition{Key: jobKey(job.id), Version: job.stamp})
