--- a/cmd/eiderhitch/main.go
+++ b/cmd/eiderhitch/main.go
@@ -36,6 +36,10 @@
 	}
 }
 
+// gcPercent trades memory, of which there is several times what a controller holds,
+// for processor time; the memory limit bounds it.
+const gcPercent = 300
+
 func run(c *cli) error {
 	level := slog.LevelInfo
 	if s := os.Getenv("LOG_LEVEL"); s != "" {
@@ -59,6 +63,7 @@
 	}
 	// Leave room for what the runtime does not count: stacks of the C library,
 	// the binary itself, socket buffers.
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(p.Settings.Limits.MemMB * 0.6 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,7 @@
 	vers      map[string]uint64
 	dropped   map[string]uint64 // tombstones until the cursor has passed them
 	jobs      map[string]*job
+	atHand    []*job // those that are not over and cleared up, and some that are
 	recs      []*rec // by dense index; nil where deleted
 	recByKey  map[string]*rec
 	types     map[string]*wire.MachineType
@@ -73,7 +75,11 @@
 	toRelease []string
 	releasing bool
 	outcomes  map[core.Task]outcome
-	stepDue   bool
+	// Direct commands that are open, the most that may be, and who waits.
+	doOpen, doMost int
+	doQueue        []*machine
+	stepDue        bool
+	steps          uint64 // decisions of parts taken so far
 	// yieldUntil: this controller gave its rights up and takes none before then.
 	yieldUntil time.Time
 	metrics    *metrics
@@ -110,7 +116,11 @@
 	alloc  map[core.Task]alloc
 	raise  bool
 	raised time.Time
-	pinned map[*machine]bool // those that services are bound to, see core.Host
+	// machines are those that are in the part, whoever owns it.
+	machines []*machine
+	// mostQuiet as counted at a time, see there.
+	mostQuiet bool
+	countedAt time.Time
 	// old is how long a former owner may go on answering reports.
 	old time.Duration
 }
@@ -322,10 +332,28 @@
 	if j == nil {
 		j = &job{id: id}
 		b.jobs[id] = j
+		b.takeUp(j)
 	}
 	return j
 }
 
+// takeUp puts a job among those that the leader goes through. Jobs are remembered
+// for ever: a step must not cost more for each that has ever been.
+func (b *brain) takeUp(j *job) {
+	if !j.atHand {
+		j.atHand = true
+		b.atHand = append(b.atHand, j)
+	}
+}
+
+// layDown takes jobs that are over and cleared up out of those at hand.
+func (b *brain) layDown() {
+	b.atHand = slices.DeleteFunc(b.atHand, func(j *job) bool {
+		j.atHand = j.fate == live || len(j.recs) > 0
+		return !j.atHand
+	})
+}
+
 func (b *brain) putJob(id string, v *jobValue, stamp uint64) {
 	j := b.job(id)
 	if j.stamp != 0 && j.fate != v.Fate {
@@ -414,6 +442,7 @@
 		r = &rec{key: key, idx: int32(len(b.recs)), k: k, job: j, since: b.now, part: -1}
 		b.recs = append(b.recs, r)
 		b.recByKey[key] = r
+		b.takeUp(j)
 		if j.recs == nil {
 			j.recs, j.loc = map[int]*rec{}, map[int32]*rec{}
 		}
@@ -436,15 +465,19 @@
 	b.unlinkGroup(r)
 	r.stamp, r.part, r.zone, r.own, r.done, r.cap = stamp, v.Part, v.Zone, v.Own, v.Done, v.Cap
 	r.entries = make([]entry, 0, len(v.Tasks))
+	placed := 0
 	for _, x := range v.Tasks {
 		e := entry{num: x.Num, attempt: x.Attempt, session: x.Session}
 		if x.Machine != "" {
 			e.m = b.machine(x.Machine)
 			e.m.bound[r.task(x.Num)] = r
+			b.enlist(e.m) // one that is gone may have been forgotten
+			placed++
 		}
 		r.entries = append(r.entries, e)
 		r.job.loc[x.Num] = r
 	}
+	r.placed = placed
 	b.adopt(r)
 	for i := range r.entries {
 		if m := r.entries[i].m; m != nil && r.excess(r.entries[i].num) {
@@ -476,7 +509,7 @@
 		if e.m == nil {
 			continue
 		}
-		p := b.parts[b.home(e.m)]
+		p := b.parts[e.m.home]
 		if p.term == 0 {
 			continue
 		}
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -40,7 +40,7 @@
 	byUrgency := b.byUrgency()
 	wants, lost := b.settleDealt(hosts, byUrgency)
 	var jobs []*job
-	for _, j := range b.jobs {
+	for _, j := range b.atHand {
 		if j.fate == live && j.spec != nil && j.stamp != 0 && !j.bad && j.waits() {
 			jobs = append(jobs, j)
 		}
@@ -48,6 +48,7 @@
 	slices.SortFunc(jobs, byUrgency)
 	limits := b.limits()
 	noRoom := map[string]bool{}
+	alike := map[string]int{} // where in wants the services of a kind are
 	short := map[int32]bool{} // teams in which somebody waits for the limit
 	b.lead.ahead = b.dealAhead(lost)
 	for _, j := range jobs {
@@ -77,10 +78,19 @@
 				wants = append(wants, b.want(j, "", n))
 				continue
 			}
+			if at, ok := alike[j.sig]; ok && j.spec.Tasks == 1 && limits[j.team].Room(j.need, 1) == 1 {
+				// The same for services of one replica, that are many after a loss.
+				limits[j.team].Used = limits[j.team].Used.Plus(j.need)
+				wants[at].Count++
+				continue
+			}
 			before := limits[j.team].Used
 			short[j.team] = short[j.team] || limits[j.team].Room(j.need, left) < left
 			w := b.dealJob(hosts, limits, j, dealt, left, must > 0)
 			if w.Count > 0 {
+				if j.spec.Whole() && j.spec.Tasks == 1 && !b.lentFor(j) {
+					alike[j.sig] = len(wants)
+				}
 				wants = append(wants, w)
 				noRoom[j.sig] = true
 			}
--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -34,7 +34,7 @@
 		if l := b.lends[m.name]; l != nil && !l.Ack {
 			return // on its way to the leader
 		}
-		h := &core.Host{ID: m.idx, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: b.home(m), Size: size, Free: size}
+		h := &core.Host{ID: m.idx, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: m.home, Size: size, Free: size}
 		h.Touched = b.lends[m.name] != nil // wanted, even before it is in use
 		for _, r := range m.bound {
 			if r.job.spec == nil {
@@ -54,8 +54,8 @@
 			if !p.active {
 				continue
 			}
-			for _, m := range b.byIdx {
-				if b.home(m) == p.n && m.heard.After(p.since) {
+			for _, m := range p.machines {
+				if m.heard.After(p.since) {
 					add(m, b.flags(m, p))
 				}
 			}
@@ -74,10 +74,10 @@
 		}
 		for i := range s.status.Machines {
 			x := &s.status.Machines[i]
-			if b.home(b.machine(x.Name)) != p.n {
+			m := b.machine(x.Name)
+			if m.home != p.n {
 				continue
 			}
-			m := b.machine(x.Name)
 			m.typ, m.zone, m.spot, m.addr = x.Type, x.Zone, x.Flags&mesh.Spot != 0, x.Addr
 			add(m, x.Flags)
 		}
@@ -112,18 +112,29 @@
 	if m.gone || !b.quiet(m, p) {
 		return false
 	}
-	quiet, all := 0, 0
-	for _, o := range b.byIdx {
-		if o.gone || o.heard.IsZero() || b.home(o) != p.n || b.now.Sub(o.heard) > 2*time.Minute {
-			continue
-		}
-		all++
-		if b.quiet(o, p) {
-			quiet++
+	// A machine whose lease is over has lost its tasks anyhow.
+	return !b.mostQuiet(p) || b.leaseOver(m, p)
+}
+
+// mostQuiet tells whether most of a part's machines are quiet. It is counted once
+// for all that is decided at a time: counted anew for each quiet machine, some
+// hundred of them that fall silent together would take up the processor.
+func (b *brain) mostQuiet(p *part) bool {
+	if p.countedAt != b.now {
+		p.countedAt = b.now
+		quiet, all := 0, 0
+		for _, m := range p.machines {
+			if m.gone || m.heard.IsZero() || b.now.Sub(m.heard) > 2*time.Minute {
+				continue
+			}
+			all++
+			if b.quiet(m, p) {
+				quiet++
+			}
 		}
+		p.mostQuiet = quiet*2 > all
 	}
-	// A machine whose lease is over has lost its tasks anyhow.
-	return quiet*2 <= all || b.leaseOver(m, p)
+	return p.mostQuiet
 }
 
 func (b *brain) quiet(m *machine, p *part) bool {
@@ -151,8 +162,8 @@
 			continue
 		}
 		s.Parts = append(s.Parts, uint64(p.n))
-		for _, m := range b.byIdx {
-			if m.gone || !m.heard.After(p.since) && len(m.bound) == 0 || m.session == 0 || b.home(m) != p.n ||
+		for _, m := range p.machines {
+			if m.gone || !m.heard.After(p.since) && len(m.bound) == 0 || m.session == 0 ||
 				b.now.Sub(b.heardSince(m, p)) > 3*time.Minute {
 				continue
 			}
@@ -228,8 +239,8 @@
 func (b *brain) eachVouched(f func(*machine, uint8)) {
 	for _, p := range b.parts {
 		if p.term != 0 && p.active {
-			for _, m := range b.byIdx {
-				if b.home(m) == p.n && !m.gone && (!m.heard.IsZero() || len(m.bound) > 0) && b.now.Sub(b.heardSince(m, p)) < 3*time.Minute {
+			for _, m := range p.machines {
+				if !m.gone && (!m.heard.IsZero() || len(m.bound) > 0) && b.now.Sub(b.heardSince(m, p)) < 3*time.Minute {
 					f(m, b.flags(m, p))
 				}
 			}
@@ -237,13 +248,12 @@
 		}
 		if s := b.siblings[b.holders[p.key].Node]; s != nil && s.status != nil && b.now.Sub(s.at) < 3*time.Second {
 			for i := range s.status.Machines {
-				if x := &s.status.Machines[i]; b.home(b.machine(x.Name)) == p.n {
-					if m := b.machine(x.Name); !m.gone {
-						if x.Flags&mesh.Suspect != 0 && m.suspectAt.IsZero() {
-							m.suspectAt = b.now
-						}
-						f(m, x.Flags)
+				x := &s.status.Machines[i]
+				if m := b.machine(x.Name); m.home == p.n && !m.gone {
+					if x.Flags&mesh.Suspect != 0 && m.suspectAt.IsZero() {
+						m.suspectAt = b.now
 					}
+					f(m, x.Flags)
 				}
 			}
 		}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -82,7 +82,7 @@
 		}
 	}
 	waiting, dealt := 0, 0
-	for _, j := range b.jobs {
+	for _, j := range b.atHand {
 		if j.fate == live && j.spec != nil {
 			n, _ := j.dealt()
 			waiting += j.spec.Tasks - n
@@ -98,10 +98,11 @@
 
 // finishJobs ends jobs whose tasks are all done and clears up behind final ones.
 func (b *brain) finishJobs() {
+	b.layDown()
 	budget := 8
 	// What is over can wait while the state service has more to do.
 	clear := b.wr.Backlog() < time.Second
-	for _, j := range b.jobs {
+	for _, j := range b.atHand {
 		if budget == 0 {
 			return
 		}
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -45,40 +45,41 @@
 
 func (b *brain) putLend(name string, v *lendValue, stamp uint64) {
 	m := b.machine(name)
-	before := b.home(m)
 	l := b.lends[name]
 	if l == nil {
 		l = &lend{since: b.now}
 		b.lends[name] = l
 	}
 	l.lendValue, l.stamp = *v, stamp
-	b.moved(m, before)
-	if before == b.home(m) && !l.Ack {
+	if !b.moved(m) && !l.Ack {
 		b.kick(m) // stops what the group may evict
 	}
 }
 
 func (b *brain) dropLend(name string) {
 	m := b.machine(name)
-	before := b.home(m)
 	delete(b.lends, name)
-	b.moved(m, before)
-	if p := b.parts[m.hash]; p.term != 0 && before != m.hash {
+	if p := b.parts[m.hash]; b.moved(m) && p.term != 0 {
 		p.raise = true
 	}
 }
 
-// moved takes a machine out of the part that it was in.
-func (b *brain) moved(m *machine, before int) {
-	if b.home(m) == before {
-		return
+// moved takes a machine out of the part that it was in, if it is in another now.
+func (b *brain) moved(m *machine) bool {
+	before, now := m.home, b.homeOf(m)
+	if now == before {
+		return false
 	}
-	b.log.Info("machine changes parts", "machine", m.name, "from", before, "to", b.home(m))
-	m.homeAt = b.now
-	if p := b.parts[before]; p.term != 0 {
+	b.log.Info("machine changes parts", "machine", m.name, "from", before, "to", now)
+	p := b.parts[before]
+	p.delist(func(o *machine) bool { return o == m })
+	m.home, m.homeAt = now, b.now
+	b.enlist(m)
+	if p.term != 0 {
 		p.cells.DropMachine(m.idx)
 	}
 	b.step()
+	return true
 }
 
 // acknowledge hands over machines of a part of ours on which nothing is bound
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -1,12 +1,15 @@
 package controller
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"eiderhitch/internal/api"
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/fleet"
 	"eiderhitch/internal/wire"
 )
 
@@ -16,6 +19,8 @@
 	spot                  bool
 	idx                   int32
 	hash                  int                // its part, unless it is lent
+	home                  int                // the part that it is in now
+	listed                bool               // among that part's machines
 	homeAt                time.Time          // when it last came to another part
 	bound                 map[core.Task]*rec // by stored bindings
 	gone                  bool
@@ -37,6 +42,8 @@
 	doBusy  bool
 	doStart bool   // the one in flight carries a start
 	doAgain bool   // more came up while one was in flight
+	doWaits bool   // for its turn, see doLater
+	doPing  bool   // to be told our token
 	openDo  uint64 // term of a start that went unanswered
 	// respOpen: an answer to a report carries a start, and no later report has
 	// come yet. The worker handles one report at a time, so the next one proves
@@ -51,6 +58,9 @@
 	// has not answered us since.
 	unanswered int
 	mute       bool
+
+	pinned   bool // see pinnedBy
+	pinnedAt uint64
 }
 
 func (b *brain) machine(name string) *machine {
@@ -58,15 +68,17 @@
 	if m == nil {
 		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), bound: map[core.Task]*rec{}, images: map[string]bool{}, failed: map[string]bool{}}
 		_, m.gone = b.gone[name]
+		m.home = b.homeOf(m)
 		b.machines[name] = m
 		b.byIdx = append(b.byIdx, m)
+		b.enlist(m)
 	}
 	return m
 }
 
 // sizeMachine makes a machine's cells known to its part once its type is.
 func (b *brain) sizeMachine(m *machine) {
-	p := b.parts[b.home(m)]
+	p := b.parts[m.home]
 	t := b.types[m.typ]
 	if p.term == 0 || t == nil || m.gone || m.heard.IsZero() {
 		return
@@ -74,14 +86,34 @@
 	p.cells.SetMachine(m.idx, core.Amount(t.CPUs, t.GPUs, t.RAM))
 }
 
-// home is the part that a machine is in now.
-func (b *brain) home(m *machine) int {
+// homeOf is the part that a machine is in by what is stored.
+func (b *brain) homeOf(m *machine) int {
 	if l := b.lends[m.name]; l != nil && l.Ack {
 		return b.lentPart()
 	}
 	return m.hash
 }
 
+// enlist puts a machine among those of its part.
+func (b *brain) enlist(m *machine) {
+	if !m.listed {
+		m.listed = true
+		p := b.parts[m.home]
+		p.machines = append(p.machines, m)
+	}
+}
+
+// delist takes machines out of a part's list.
+func (p *part) delist(out func(*machine) bool) {
+	p.machines = slices.DeleteFunc(p.machines, func(m *machine) bool {
+		if !out(m) {
+			return false
+		}
+		m.listed = false
+		return true
+	})
+}
+
 // took is since when a part's owner has had a machine.
 func (p *part) took(m *machine) time.Time {
 	if m.homeAt.After(p.since) {
@@ -147,7 +179,7 @@
 	if !b.loaded {
 		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "starting"}
 	}
-	p := b.parts[b.home(b.machine(r.Machine))]
+	p := b.parts[b.machine(r.Machine).home]
 	if p.term == 0 {
 		h, ok := b.holders[p.key]
 		if !ok || h.Node == b.cfg.Name {
@@ -327,19 +359,20 @@
 		return
 	}
 	b.outcomes[t] = o
+	r.dirty = true
 	if o.done {
 		b.metrics.count(cDone, 1)
 	} else {
 		b.metrics.count(cLost, 1)
 	}
 	b.log.Debug("attempt over", "task", taskName(r.job.id, e.num), "attempt", e.attempt, "machine", e.m.name, "done", o.done)
-	b.freeCell(b.parts[b.home(e.m)], t)
+	b.freeCell(b.parts[e.m.home], t)
 	b.step()
 }
 
 // endAll ends every attempt on a machine that is gone or whose lease is over.
 func (b *brain) endAll(m *machine, why string) {
-	p := b.parts[b.home(m)]
+	p := b.parts[m.home]
 	if p.term == 0 {
 		return
 	}
@@ -452,7 +485,7 @@
 
 // kick sends a machine's commands at once, without waiting for its report.
 func (b *brain) kick(m *machine) {
-	p := b.parts[b.home(m)]
+	p := b.parts[m.home]
 	if p.term == 0 || !p.active || m.gone || m.addr == "" || !m.heard.After(p.since) {
 		return
 	}
@@ -463,20 +496,58 @@
 	if b.now.Before(m.doRest) || !b.fresh(b.hold) {
 		return
 	}
+	if b.doOpen >= b.doMost {
+		b.doLater(m)
+		return
+	}
 	if cmds := b.commands(m, p); len(cmds) > 0 {
 		b.direct(m, p, cmds)
 	}
 }
 
+// doLater has a machine wait for its turn: so many direct commands are open that
+// more would take the sockets of workers and users, since each to a machine that
+// is silent holds one until it times out.
+func (b *brain) doLater(m *machine) {
+	if !m.doWaits {
+		m.doWaits = true
+		b.doQueue = append(b.doQueue, m)
+	}
+}
+
+// doNext gives those that wait for direct commands their turn.
+func (b *brain) doNext() {
+	for n := len(b.doQueue); n > 0 && b.doOpen < b.doMost; n-- {
+		m := b.doQueue[0]
+		b.doQueue = b.doQueue[1:]
+		m.doWaits = false
+		if ping := m.doPing; ping {
+			m.doPing = false
+			if p := b.parts[m.home]; p.term != 0 && !m.gone {
+				b.ping(m, p)
+			}
+			continue
+		}
+		b.kick(m)
+	}
+}
+
 // ping tells a machine our token, whether it has something to do or not.
 func (b *brain) ping(m *machine, p *part) {
-	if !m.doBusy && !b.now.Before(m.doRest) && m.session > 0 && m.addr != "" && b.fresh(b.hold) {
-		b.direct(m, p, nil)
+	if m.doBusy || b.now.Before(m.doRest) || m.session == 0 || m.addr == "" || !b.fresh(b.hold) {
+		return
+	}
+	if b.doOpen >= b.doMost/2 { // the rest is for commands
+		m.doPing = true
+		b.doLater(m)
+		return
 	}
+	b.direct(m, p, nil)
 }
 
 func (b *brain) direct(m *machine, p *part, cmds []wire.Command) {
-	m.doBusy, m.doAgain = true, false
+	m.doBusy, m.doAgain, m.doPing = true, false, false
+	b.doOpen++
 	for _, c := range cmds {
 		if c.Op == wire.OpStart {
 			m.doStart = true
@@ -484,9 +555,15 @@
 	}
 	term, addr := p.term, m.addr
 	d := &wire.Direct{Token: term, Session: m.session, Commands: cmds}
+	// Counted from the decision, not from when it is sent: a process that stood
+	// still in between has no right to send it any more.
+	ctx, cancel := context.WithDeadline(b.ctx, b.now.Add(fleet.Timeout))
 	go func() {
-		r, ok, err := b.fl.Do(b.ctx, addr, d)
+		defer cancel()
+		r, ok, err := b.fl.Do(ctx, addr, d)
 		b.post(func() {
+			b.doOpen--
+			defer b.doNext()
 			started := m.doStart
 			m.doBusy, m.doStart = false, false
 			if err != nil {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -26,23 +26,18 @@
 // stepPart lets the pending tasks of a part claim cells, highest claims first,
 // and stores what changed: ended attempts and new bindings.
 func (b *brain) stepPart(p *part) {
-	for _, m := range b.byIdx {
-		if (len(m.bound) > 0) && b.home(m) == p.n && (m.gone || b.leaseOver(m, p)) {
+	p.delist(func(m *machine) bool { return m.gone && len(m.bound) == 0 })
+	for _, m := range p.machines {
+		if len(m.bound) > 0 && (m.gone || b.leaseOver(m, p)) {
 			b.endAll(m, "its lease is over")
 		}
 	}
+	b.steps++
 	byUrgency := b.byUrgency()
-	p.pinned = map[*machine]bool{}
+	// Most records have nothing to do: all their tasks run.
 	var mine []*rec
 	for _, r := range b.recs {
-		if r != nil && r.job.spec != nil && r.job.spec.Whole() {
-			for i := range r.entries {
-				if m := r.entries[i].m; m != nil {
-					p.pinned[m] = true
-				}
-			}
-		}
-		if r != nil && r.part == p.n && r.job.spec != nil {
+		if r != nil && r.part == p.n && r.job.spec != nil && (r.dirty || r.job.fate == live && r.placed < len(r.entries)) {
 			mine = append(mine, r)
 		}
 	}
@@ -50,9 +45,10 @@
 		cx, cy := x.claim(), y.claim()
 		return cmp.Or(cmp.Compare(cy.Level, cx.Level), boolCmp(cy.Own, cx.Own), byUrgency(x.job, y.job), cmp.Compare(x.k, y.k))
 	})
+	full := map[shape]bool{}
 	for _, r := range mine {
 		if !r.writing && r.job.fate == live && !b.now.Before(r.job.retryAt) {
-			b.place(p, r)
+			b.place(p, r, full)
 		}
 	}
 	for _, r := range mine {
@@ -66,6 +62,14 @@
 	}
 }
 
+// shape is what decides where tasks may be placed: where there is no room for one,
+// there is none for all others of the same shape.
+type shape struct {
+	sig, zone string
+	claim     core.Claim
+	mild      bool
+}
+
 // order is what a job's place among others depends on.
 func (b *brain) order(j *job) *core.Job {
 	_, finished := j.dealt()
@@ -101,9 +105,10 @@
 }
 
 // place asks for cells for a record's pending tasks: all of a service's first
-// start together, everything else one by one. Tasks of one record are alike,
-// so the first that finds no room speaks for all behind it.
-func (b *brain) place(p *part, r *rec) {
+// start together, everything else one by one. Tasks of one shape are alike, so
+// the first that finds no room speaks for all behind it; full is what has found
+// none in this step.
+func (b *brain) place(p *part, r *rec, full map[shape]bool) {
 	pending, busy, started := b.pending(p, r)
 	if over := len(pending) - max(0, r.may()-(len(r.entries)-len(pending))); over > 0 {
 		pending = pending[:len(pending)-over]
@@ -129,10 +134,16 @@
 		}
 	}
 	score := b.scorer(p, r)
+	// An array's tasks wait a little before they stop others: cells come
+	// free all the time, and what is stopped has run for nothing.
+	s := shape{r.job.sig, r.zone, r.claim(), !spec.Whole() && b.now.Sub(r.since) < b.op.EvictAfter}
 	request := func(tasks ...core.Task) bool {
-		// An array's tasks wait a little before they stop others: cells come
-		// free all the time, and what is stopped has run for nothing.
-		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim(), Mild: !spec.Whole() && b.now.Sub(r.since) < b.op.EvictAfter}
+		// Machines that failed a job are barred to it alone.
+		alike := len(tasks) == 1 && len(r.job.failedOn) == 0
+		if alike && full[s] {
+			return false
+		}
+		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: s.claim, Mild: s.mild}
 		p.cells.Request(g, score)
 		switch g.State {
 		case core.Allocated:
@@ -143,6 +154,8 @@
 			for _, mi := range g.Machines {
 				b.kick(b.byIdx[mi])
 			}
+		case core.Pending:
+			full[s] = full[s] || alike
 		}
 		return g.State != core.Pending
 	}
@@ -164,7 +177,14 @@
 		e := &r.entries[i]
 		t := r.task(e.num)
 		started = started || e.attempt > 0
-		if _, ok := p.alloc[t]; ok || e.m != nil || p.cells.Waiting(t) != nil {
+		there := e.m != nil
+		if o, ok := b.outcomes[t]; there && ok && o.attempt == e.attempt && !o.done && !r.job.spec.Gang {
+			// Proven gone: its end and its next cell are stored together. Stored one
+			// after the other, they had the replicas of some hundred dead machines
+			// wait twice for the state service.
+			there = false
+		}
+		if _, ok := p.alloc[t]; ok || there || p.cells.Waiting(t) != nil {
 			busy = true
 			continue
 		}
@@ -191,7 +211,7 @@
 		if m.spot {
 			s -= 500 // what is dear is left to those who need it
 		}
-		if p.pinned[m] {
+		if b.pinnedBy(m) {
 			s -= 150 // it stays anyhow
 		}
 		// Tight packing leaves whole machines free to be returned.
@@ -199,6 +219,21 @@
 	}
 }
 
+// pinnedBy tells whether a service is bound to a machine, see core.Host. It is
+// looked up once in a step.
+func (b *brain) pinnedBy(m *machine) bool {
+	if m.pinnedAt != b.steps {
+		m.pinnedAt, m.pinned = b.steps, false
+		for _, r := range m.bound {
+			if r.job.spec != nil && r.job.spec.Whole() {
+				m.pinned = true
+				break
+			}
+		}
+	}
+	return m.pinned
+}
+
 // allowed tells whether a job's task may be on a machine at all.
 func allowed(j *wire.Job, pinned, typ, zone string, spot bool) bool {
 	return (len(j.Types) == 0 || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) &&
@@ -248,8 +283,6 @@
 				continue
 			}
 			e.m, e.session = nil, 0
-			next = append(next, e)
-			continue
 		}
 		if a, ok := p.alloc[t]; ok && e.m == nil && r.job.fate == live {
 			if a.m.gone || !b.up(a.m, p) {
@@ -268,6 +301,7 @@
 		next = append(next, e)
 	}
 	if !changed {
+		r.dirty = false
 		r.endedAt, r.boundAt = time.Time{}, time.Time{}
 		return
 	}
@@ -280,7 +314,7 @@
 			return
 		}
 	}
-	if len(bound) == 0 && len(next) > 0 && job.fate == live {
+	if len(bound) == 0 && len(next) > 0 && job.fate == live && !job.spec.Whole() {
 		// Ends alone can wait a little for each other: writes are scarce.
 		if r.endedAt.IsZero() {
 			r.endedAt = b.now
@@ -369,8 +403,8 @@
 			continue
 		}
 		all, deaf := 0, 0
-		for _, m := range b.byIdx {
-			if m.gone || m.heard.IsZero() || b.home(m) != p.n || b.now.Sub(m.heard) > 3*time.Minute {
+		for _, m := range p.machines {
+			if m.gone || m.heard.IsZero() || b.now.Sub(m.heard) > 3*time.Minute {
 				continue
 			}
 			all++
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -102,7 +102,7 @@
 	level = math.MaxInt
 	byClass := map[string]*core.Want{}
 	var order []string
-	for _, j := range b.jobs {
+	for _, j := range b.atHand {
 		if j.fate != live || j.spec == nil || !j.spec.Service {
 			continue
 		}
@@ -223,7 +223,7 @@
 		if r.up {
 			since = r.seen
 		}
-		if t != nil && b.now.Sub(since) > b.bootLimit(t) && b.vouched(b.home(b.machine(name))) {
+		if t != nil && b.now.Sub(since) > b.bootLimit(t) && b.vouched(b.machine(name).home) {
 			names = append(names, name)
 		}
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -106,6 +106,7 @@
 	recs  map[int]*rec
 	loc   map[int32]*rec // of each task that is dealt and not done
 
+	atHand   bool   // among brain.atHand
 	bad      bool   // a record of it can't be decoded
 	sig      string // what jobs alike in need and permissions share
 	nextRec  int
@@ -187,7 +188,9 @@
 	done     int
 	cap      int // see groupValue
 	entries  []entry
+	placed   int // entries that name a machine
 	writing  bool
+	dirty    bool      // attempts have ended that are not stored as ended
 	endedAt  time.Time // since when ended attempts wait to be stored
 	boundAt  time.Time // since when new bindings wait to be stored
 	since    time.Time // when it came to its part
@@ -205,14 +208,9 @@
 	return nil
 }
 
+// bound counts the tasks that are on machines by what is stored.
 func (r *rec) bound() int {
-	n := 0
-	for i := range r.entries {
-		if r.entries[i].m != nil {
-			n++
-		}
-	}
-	return n
+	return r.placed
 }
 
 // may is how many tasks may be bound at a time.
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		right := wire.Condition{Key: keyLeader, Version: b.lead.term}
-		if p := b.parts[b.home(m)]; !b.lead.active && p.term != 0 {
+		if p := b.parts[m.home]; !b.lead.active && p.term != 0 {
 			right = wire.Condition{Key: p.key, Version: p.term}
 		}
 		if right.Version == 0 {
@@ -152,8 +152,8 @@
 		if !p.active || !b.fresh(b.op.RightTTL) {
 			continue
 		}
-		for _, m := range b.byIdx {
-			if b.home(m) == p.n && !m.heard.IsZero() && len(m.bound) > 0 && b.silent(m, p) {
+		for _, m := range p.machines {
+			if !m.heard.IsZero() && len(m.bound) > 0 && b.silent(m, p) {
 				names = append(names, m.name)
 			}
 		}
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -252,8 +252,8 @@
 			}
 		}
 	}
-	for _, m := range b.byIdx {
-		if b.home(m) == p.n && !m.gone {
+	for _, m := range p.machines {
+		if !m.gone {
 			m.doRest = time.Time{}
 			b.ping(m, p)
 		}
@@ -321,8 +321,8 @@
 		b.lead.term = stamp
 	}
 	b.log.Info("term raised", "part", p.n, "term", stamp)
-	for _, m := range b.byIdx {
-		if b.home(m) == p.n && !m.gone {
+	for _, m := range p.machines {
+		if !m.gone {
 			b.ping(m, p)
 		}
 	}
@@ -344,8 +344,8 @@
 			continue
 		}
 		young = young || b.now.Sub(p.since) < window
-		for _, m := range b.byIdx {
-			if m.gone || b.home(m) != p.n {
+		for _, m := range p.machines {
+			if m.gone {
 				continue
 			}
 			if len(m.bound) > 0 || !m.heard.IsZero() && b.now.Sub(m.heard) < time.Minute {
@@ -384,9 +384,14 @@
 // reporting is how many machines of ours have reported of late.
 func (b *brain) reporting() int {
 	n := 0
-	for _, m := range b.byIdx {
-		if !m.gone && b.parts[b.home(m)].term != 0 && b.now.Sub(m.heard) < time.Minute {
-			n++
+	for _, p := range b.parts {
+		if p.term == 0 {
+			continue
+		}
+		for _, m := range p.machines {
+			if !m.gone && b.now.Sub(m.heard) < time.Minute {
+				n++
+			}
 		}
 	}
 	return n
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -30,6 +30,8 @@
 	watchWait     = 1500 * time.Millisecond
 	cloudQueue    = 64
 	minStepPeriod = 20 * time.Millisecond
+	// restFactor is how many times a step's duration passes before the next.
+	restFactor = 5
 )
 
 // outside is how a controller reaches the world.
@@ -51,7 +53,7 @@
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]time.Time{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
-		outcomes: map[core.Task]outcome{}, metrics: newMetrics(),
+		outcomes: map[core.Task]outcome{}, doMost: max(s.Limits.MaxSockets/8, 8), metrics: newMetrics(),
 	}
 	b.now = time.Now()
 	b.startedAt = b.now
@@ -129,7 +131,14 @@
 func (b *brain) loop() {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	var nextStatus, nextMetrics, nextLead, lastStep time.Time
+	var nextStatus, nextMetrics, nextLead, nextStep time.Time
+	// Steps that take long are taken less often: reports, renewals and users must
+	// not wait for them.
+	step := func(now time.Time) {
+		b.stepDue = false
+		b.stepParts()
+		nextStep = now.Add(max(minStepPeriod, restFactor*time.Since(now)))
+	}
 	nextMetrics = time.Now().Add(metricsEvery)
 	for {
 		select {
@@ -139,9 +148,8 @@
 			b.now = time.Now()
 			f()
 			b.metrics.observe(lEvent, time.Since(b.now))
-			if b.stepDue && b.now.Sub(lastStep) > minStepPeriod {
-				b.stepDue, lastStep = false, b.now
-				b.stepParts()
+			if b.stepDue && b.now.After(nextStep) {
+				step(time.Now())
 			}
 			continue
 		case <-t.C:
@@ -154,11 +162,13 @@
 		b.watchHearing()
 		b.watchFollowers()
 		b.tendCloud()
-		b.stepDue = false
-		b.stepParts()
+		if !b.now.Before(nextStep) {
+			step(b.now)
+		}
 		if !b.now.Before(nextLead) {
-			nextLead = b.now.Add(2 * tick)
+			begun := time.Now()
 			b.leadStep()
+			nextLead = b.now.Add(max(2*tick, restFactor*time.Since(begun)))
 		}
 		if !b.now.Before(nextStatus) {
 			nextStatus = b.now.Add(statusEvery)
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -15,6 +15,7 @@
 	Part       int
 	Size, Free Res
 	Claims     []HeldCell // of tasks that run on it
+	sorted     bool       // Claims are, see victimsFirst
 	Booting    bool
 	Touched    bool // by planning: it is wanted
 	// Pinned: a service runs on it. It stays for as long as that does, so what
@@ -73,6 +74,17 @@
 	return a.ID < b.ID
 }
 
+// victimsFirst sorts a host's claims, those first that would be evicted first.
+// Once is enough: claims are only taken away from the front.
+func (h *Host) victimsFirst() {
+	if !h.sorted {
+		h.sorted, h.Claims = true, slices.Clone(h.Claims)
+		slices.SortStableFunc(h.Claims, func(x, y HeldCell) int {
+			return cmp.Or(cmp.Compare(x.Claim.Level, y.Claim.Level), cmp.Compare(y.Size.CPU, x.Size.CPU))
+		})
+	}
+}
+
 // Evictable finds the host on which a task could be placed by stopping the
 // fewest tasks of the lowest priority, and takes that room.
 func Evictable(hosts []*Host, allowed func(*Host) bool, need Res, c Claim) *Host {
@@ -84,11 +96,8 @@
 		if h.Booting || !allowed(h) {
 			continue
 		}
-		held := slices.Clone(h.Claims)
-		slices.SortStableFunc(held, func(x, y HeldCell) int {
-			return cmp.Or(cmp.Compare(x.Claim.Level, y.Claim.Level), cmp.Compare(y.Size.CPU, x.Size.CPU))
-		})
-		free, cost := h.Free, 0.0
+		h.victimsFirst()
+		held, free, cost := h.Claims, h.Free, 0.0
 		for len(held) > 0 && !free.Holds(need) && c.Evicts(held[0].Claim) {
 			free = free.Plus(held[0].Size)
 			cost += 1 + 1000*float64(held[0].Claim.Level)
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -13,8 +13,8 @@
 	"eiderhitch/internal/wire"
 )
 
-// doTimeout bounds a direct command; workers answer within milliseconds.
-const doTimeout = 2 * time.Second
+// Timeout bounds a direct command; workers answer within milliseconds.
+const Timeout = 2 * time.Second
 
 // Client sends direct commands.
 type Client struct{ http *http.Client }
@@ -25,7 +25,7 @@
 // Do sends commands; the worker's report comes back whether it executed them
 // or not. An error means that they may yet be executed later.
 func (c *Client) Do(ctx context.Context, addr string, d *wire.Direct) (*wire.Report, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, doTimeout)
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
 	if d.Commands == nil {
 		d.Commands = []wire.Command{}
