--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -118,6 +118,7 @@
 	raised time.Time
 	// machines are those that are in the part, whoever owns it.
 	machines []*machine
+	recs     []*rec // that it is in charge of
 	// mostQuiet as counted at a time, see there.
 	mostQuiet bool
 	countedAt time.Time
@@ -313,6 +314,7 @@
 		if r := b.recByKey[key]; r != nil {
 			b.releaseClaims(r, nil)
 			b.unlinkGroup(r)
+			b.file(r, -1)
 			delete(r.job.recs, r.k)
 			delete(b.recByKey, key)
 			b.recs[r.idx] = nil
@@ -463,6 +465,7 @@
 		b.releaseClaims(r, kept)
 	}
 	b.unlinkGroup(r)
+	b.file(r, v.Part)
 	r.stamp, r.part, r.zone, r.own, r.done, r.cap = stamp, v.Part, v.Zone, v.Own, v.Done, v.Cap
 	r.entries = make([]entry, 0, len(v.Tasks))
 	placed := 0
@@ -487,6 +490,24 @@
 	b.step()
 }
 
+// file moves a record to another part's list; -1: to none.
+func (b *brain) file(r *rec, part int) {
+	if r.listed > 0 && r.part == part {
+		return
+	}
+	if r.listed > 0 {
+		l := b.parts[r.part].recs
+		last := l[len(l)-1]
+		l[r.listed-1], last.listed = last, r.listed
+		l[len(l)-1] = nil
+		b.parts[r.part].recs, r.listed = l[:len(l)-1], 0
+	}
+	if part >= 0 {
+		b.parts[part].recs = append(b.parts[part].recs, r)
+		r.listed = len(b.parts[part].recs)
+	}
+}
+
 func (b *brain) unlinkGroup(r *rec) {
 	for i := range r.entries {
 		e := &r.entries[i]
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -59,8 +59,9 @@
 	unanswered int
 	mute       bool
 
-	pinned   bool // see pinnedBy
-	pinnedAt uint64
+	// Looked up once in a step, see brain.open and pinnedBy.
+	open, pinned     bool
+	openAt, pinnedAt uint64
 }
 
 func (b *brain) machine(name string) *machine {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -36,8 +36,8 @@
 	byUrgency := b.byUrgency()
 	// Most records have nothing to do: all their tasks run.
 	var mine []*rec
-	for _, r := range b.recs {
-		if r != nil && r.part == p.n && r.job.spec != nil && (r.dirty || r.job.fate == live && r.placed < len(r.entries)) {
+	for _, r := range p.recs {
+		if r.job.spec != nil && (r.dirty || r.job.fate == live && r.placed < len(r.entries)) {
 			mine = append(mine, r)
 		}
 	}
@@ -198,10 +198,7 @@
 	j := r.job.spec
 	return func(mi int32, free core.Res) float64 {
 		m := b.byIdx[mi]
-		if !allowed(j, r.zone, m.typ, m.zone, m.spot) || !b.up(m, p) || !m.notice.IsZero() || m.suspect || b.now.Before(m.cooling) || m.failed[r.job.id] {
-			return -1
-		}
-		if b.closing[m.name] || b.leaving[m.name] || b.lends[m.name] != nil && p.n != b.lentPart() {
+		if !b.open(m, p) || !allowed(j, r.zone, m.typ, m.zone, m.spot) || len(m.failed) > 0 && m.failed[r.job.id] {
 			return -1
 		}
 		s := 1000.0
@@ -219,6 +216,17 @@
 	}
 }
 
+// open tells whether anything may be placed on a machine now. It is looked up
+// once in a step, not for each task.
+func (b *brain) open(m *machine, p *part) bool {
+	if m.openAt != b.steps {
+		m.openAt = b.steps
+		m.open = b.up(m, p) && m.notice.IsZero() && !m.suspect && !b.now.Before(m.cooling) &&
+			!b.closing[m.name] && !b.leaving[m.name] && (b.lends[m.name] == nil || p.n == b.lentPart())
+	}
+	return m.open
+}
+
 // pinnedBy tells whether a service is bound to a machine, see core.Host. It is
 // looked up once in a step.
 func (b *brain) pinnedBy(m *machine) bool {
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -189,6 +189,7 @@
 	cap      int // see groupValue
 	entries  []entry
 	placed   int // entries that name a machine
+	listed   int // one more than its place among its part's records; 0: in none
 	writing  bool
 	dirty    bool      // attempts have ended that are not stored as ended
 	endedAt  time.Time // since when ended attempts wait to be stored
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -29,7 +29,7 @@
 	fleetEvery    = 10 * time.Second
 	watchWait     = 1500 * time.Millisecond
 	cloudQueue    = 64
-	minStepPeriod = 20 * time.Millisecond
+	minStepPeriod = 50 * time.Millisecond
 	// restFactor is how many times a step's duration passes before the next.
 	restFactor = 5
 )
@@ -53,7 +53,7 @@
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]time.Time{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
-		outcomes: map[core.Task]outcome{}, doMost: max(s.Limits.MaxSockets/8, 8), metrics: newMetrics(),
+		outcomes: map[core.Task]outcome{}, doMost: max(s.Limits.MaxSockets/8, 8), metrics: newMetrics(), steps: 1,
 	}
 	b.now = time.Now()
 	b.startedAt = b.now
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -120,6 +120,8 @@
 func (g *Group) Victims() int { return g.victims }
 
 type machine struct {
+	id    int32
+	place int // in the part's list
 	size  Res
 	free  Res
 	cells []*Cell
@@ -129,6 +131,7 @@
 // Part is the cells of one part's machines.
 type Part struct {
 	machines map[int32]*machine
+	list     []*machine
 	used     map[Task]*Cell  // Used and Reserving
 	waiting  map[Task]*Group // Preempting
 	claims   int64
@@ -149,8 +152,9 @@
 func (p *Part) machine(m int32) *machine {
 	x := p.machines[m]
 	if x == nil {
-		x = &machine{}
+		x = &machine{id: m, place: len(p.list)}
 		p.machines[m] = x
+		p.list = append(p.list, x)
 	}
 	return x
 }
@@ -169,6 +173,10 @@
 	}
 	if len(x.cells) == 0 {
 		delete(p.machines, m)
+		last := p.list[len(p.list)-1]
+		p.list[x.place], last.place = last, x.place
+		p.list[len(p.list)-1] = nil
+		p.list = p.list[:len(p.list)-1]
 	}
 }
 
@@ -312,11 +320,17 @@
 	mine := map[*Cell]bool{} // cells promised to earlier tasks
 	for range g.Tasks {
 		best, bestScore, found := int32(0), 0.0, false
-		for m, x := range p.machines {
-			free := x.free.Minus(taken[m])
-			if !x.known || !free.Holds(g.Need) {
+		for _, x := range p.list {
+			m := x.id
+			if !x.known || !x.free.Holds(g.Need) {
 				continue
 			}
+			free := x.free
+			if len(taken) > 0 {
+				if free = free.Minus(taken[m]); !free.Holds(g.Need) {
+					continue
+				}
+			}
 			s := score(m, free)
 			if s < 0 || found && (s > bestScore || s == bestScore && m > best) {
 				continue
@@ -333,15 +347,17 @@
 		}
 		var pick choice
 		pickCost, pickScore := -1.0, 0.0
-		for m, x := range p.machines {
-			if !x.known {
+		for _, x := range p.list {
+			m := x.id
+			free := x.free.Minus(taken[m])
+			if !x.known || !evictable(x, g, free, mine) {
 				continue
 			}
 			s := score(m, x.free)
 			if s < 0 {
 				continue
 			}
-			victims, cost := p.victims(x, g, x.free.Minus(taken[m]), mine)
+			victims, cost := p.victims(x, g, free, mine)
 			if cost < 0 || pickCost >= 0 && (cost > pickCost || cost == pickCost && (s > pickScore || s == pickScore && m > pick.machine)) {
 				continue
 			}
@@ -396,18 +412,35 @@
 	}
 }
 
+// mayTake tells whether g may take a cell that others use or reserve.
+func mayTake(c *Cell, g *Group, mine map[*Cell]bool) bool {
+	return (c.by == nil || g.Claim.Evicts(c.by.Claim)) && (c.State == Reserved || g.Claim.Evicts(c.userClaim)) && !mine[c]
+}
+
+// evictable tells whether a machine has room for a task of g when all are evicted
+// that may be: most have not, and need no closer look.
+func evictable(x *machine, g *Group, free Res, mine map[*Cell]bool) bool {
+	if !x.size.Holds(g.Need) {
+		return false
+	}
+	for _, c := range x.cells {
+		if mayTake(c, g, mine) {
+			if free = free.Plus(c.Size); free.Holds(g.Need) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // victims chooses cells of a machine for one task of g: the fewest, of the
 // lowest priority. The cost is negative if there aren't enough.
 func (p *Part) victims(x *machine, g *Group, free Res, mine map[*Cell]bool) ([]*Cell, float64) {
 	var can []*Cell
 	for _, c := range x.cells {
-		if mine[c] || c.by != nil && !g.Claim.Evicts(c.by.Claim) {
-			continue
-		}
-		if c.State != Reserved && !g.Claim.Evicts(c.userClaim) {
-			continue
+		if mayTake(c, g, mine) {
+			can = append(can, c)
 		}
-		can = append(can, c)
 	}
 	var out []*Cell
 	cost := 0.0
