--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -81,7 +81,7 @@
 			if at, ok := alike[j.sig]; ok && j.spec.Tasks == 1 && limits[j.team].Room(j.need, 1) == 1 {
 				// The same for services of one replica, that are many after a loss.
 				limits[j.team].Used = limits[j.team].Used.Plus(j.need)
-				wants[at].Count++
+				wants[at].Groups++
 				continue
 			}
 			before := limits[j.team].Used
@@ -89,7 +89,7 @@
 			w := b.dealJob(hosts, limits, j, dealt, left, must > 0)
 			if w.Count > 0 {
 				if j.spec.Whole() && j.spec.Tasks == 1 && !b.lentFor(j) {
-					alike[j.sig] = len(wants)
+					alike[j.sig], w.Groups = len(wants), 1
 				}
 				wants = append(wants, w)
 				noRoom[j.sig] = true
--- a/internal/core/deal_test.go
+++ b/internal/core/deal_test.go
@@ -322,3 +322,30 @@
 		})
 	}
 }
+
+// Many like services that come apart are planned for as if each were looked at by
+// itself: in bulk, larger machines would be chosen, which come up later.
+func TestServicesApart(t *testing.T) {
+	offers := []Priced{
+		{Offer: Offer{Type: "small", Zone: "a"}, Size: Amount(4, 0, 64), Price: 0.3, BootS: 25},
+		{Offer: Offer{Type: "large", Zone: "a"}, Size: Amount(16, 0, 64), Price: 1, BootS: 50},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, n := drawHosts(t), rapid.IntRange(2, 40).Draw(t, "services")
+		like := rapid.IntRange(0, 100).Draw(t, "like")
+		w := Want{Class: "x", Need: Amount(float64(rapid.IntRange(1, 4).Draw(t, "need")), 0, 1), Count: 1, Service: true,
+			Allows: func(string, string, bool) bool { return true }}
+		fleet := func() *Fleet {
+			return &Fleet{All: Clone(hosts), Offers: offers, Like: map[string]int{"x": like}, Plan: map[Offer]int{}}
+		}
+		apart, together := fleet(), fleet()
+		for range n {
+			apart.Serve(w)
+		}
+		w.Groups = n
+		together.Serve(w)
+		if d := cmp.Diff(apart.Plan, together.Plan); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -10,6 +10,7 @@
 	Class    string
 	Need     Res
 	Count    int
+	Groups   int // of Count tasks each, that come apart from each other; 0: one
 	Service  bool
 	Estimate float64 // of one task's run time, seconds
 	Window   float64 // within which an array's tasks should be through
@@ -38,7 +39,7 @@
 
 // Serve has a want take what room there is, and rents for what is left.
 func (f *Fleet) Serve(w Want) {
-	n := w.Count
+	n := w.Count * max(w.Groups, 1)
 	if !w.Service && w.Window > 0 {
 		n = min(n, int(math.Ceil(float64(n)*max(w.Estimate, 5)/w.Window)))
 	}
@@ -69,15 +70,27 @@
 		}
 		fitting, n = late, (n+7)/8
 	}
-	o, k := Choose(fitting, w.Need, n, n+f.Like[w.Class]/4, bootPatience)
-	if k == 0 {
-		return
+	// Services that come one by one are served one by one: in bulk the largest
+	// machines would be the cheapest, which take longest to be of use.
+	each := n
+	if w.Groups > 1 {
+		each = w.Count
 	}
-	for range k {
-		f.All = append(f.All, &Host{ID: -1, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Size: o.Size, Free: o.Size, Booting: true})
+	for n > 0 {
+		o, k := Choose(fitting, w.Need, each, each+f.Like[w.Class]/4, bootPatience)
+		if k == 0 {
+			return
+		}
+		added := make([]*Host, k)
+		for i := range added {
+			added[i] = &Host{ID: -1, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Size: o.Size, Free: o.Size, Booting: true}
+		}
+		f.All = append(f.All, added...)
+		for _, k := range Take(added, w.on, w.Need, n) {
+			n -= k
+		}
+		f.Plan[o.Offer] += k
 	}
-	Take(f.All, w.on, w.Need, n)
-	f.Plan[o.Offer] += k
 }
 
 // FreeBelow counts room that claims below a level hold as free, since work of
