--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -540,6 +540,7 @@
 		}
 		delete(p.alloc, t)
 		p.cells.Adopt(t, e.m.idx, r.job.need, r.claim())
+		b.willFetch(e.m, r.job.spec.Image)
 	}
 }
 
@@ -595,6 +596,14 @@
 	for i, t := range g.Tasks {
 		m := b.byIdx[g.Machines[i]]
 		p.alloc[t] = alloc{m, m.session}
+		b.willFetch(m, b.recs[t.Rec].job.spec.Image)
 	}
 	b.step()
 }
+
+// willFetch notes that a machine fetches an image for a task that it is given.
+func (b *brain) willFetch(m *machine, image string) {
+	if image != "" && !m.images[image] {
+		m.fetching[image] = b.now
+	}
+}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -33,7 +33,8 @@
 	notice       time.Time // when the cloud takes it; zero: no notice
 	tasks        []wire.TaskReport
 	images       map[string]bool
-	cooling      time.Time // nothing is placed on it before then
+	fetching     map[string]time.Time // images that are being fetched, since when
+	cooling      time.Time            // nothing is placed on it before then
 	failed       map[string]bool
 	suspect      bool
 	suspectAt    time.Time
@@ -67,7 +68,7 @@
 func (b *brain) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
-		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), bound: map[core.Task]*rec{}, images: map[string]bool{}, failed: map[string]bool{}}
+		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), bound: map[core.Task]*rec{}, images: map[string]bool{}, fetching: map[string]time.Time{}, failed: map[string]bool{}}
 		_, m.gone = b.gone[name]
 		m.home = b.homeOf(m)
 		b.machines[name] = m
@@ -226,7 +227,7 @@
 	}
 	if r.Session > m.session && m.session > 0 {
 		b.log.Info("machine begins a new session", "machine", m.name, "session", r.Session)
-		m.images = map[string]bool{}
+		m.images, m.fetching = map[string]bool{}, map[string]time.Time{}
 		m.openDo, m.respOpen = 0, false // commands of an earlier session are refused
 		m.mute = !m.answered.IsZero()   // it lost its lease: did it hear us at all?
 	}
@@ -282,6 +283,7 @@
 		shown[r.task(e.num)] = true
 		if j.spec != nil && (t.State == wire.Running || t.State == wire.Saving) && j.spec.Image != "" {
 			m.images[j.spec.Image] = true
+			delete(m.fetching, j.spec.Image)
 		}
 		if t.State != wire.Exited {
 			continue
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -78,6 +78,9 @@
 		Left: float64(j.spec.Tasks-finished) * j.spec.EstimateS * j.spec.CPUs}
 }
 
+// alikeS is within how many seconds jobs count as coming at the same time.
+const alikeS = 10
+
 // byUrgency compares jobs by priority and urgency, each looked at once.
 func (b *brain) byUrgency() func(x, y *job) int {
 	known := map[*job]core.Urgency{}
@@ -90,7 +93,10 @@
 		return u
 	}
 	return func(x, y *job) int {
-		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), of(x).Compare(of(y)), x.at.Compare(y.at), cmp.Compare(x.id, y.id))
+		// Of those that come at about the same time the ones with one image go
+		// together: a machine that comes up fetches one for all that it takes.
+		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), of(x).Compare(of(y)), cmp.Compare(x.at.Unix()/alikeS, y.at.Unix()/alikeS),
+			cmp.Compare(x.spec.Image, y.spec.Image), x.at.Compare(y.at), cmp.Compare(x.id, y.id))
 	}
 }
 
@@ -201,10 +207,7 @@
 		if !b.open(m, p) || !allowed(j, r.zone, m.typ, m.zone, m.spot) || len(m.failed) > 0 && m.failed[r.job.id] {
 			return -1
 		}
-		s := 1000.0
-		if m.images[j.Image] {
-			s -= 400
-		}
+		s := 1000.0 + b.fetchCost(m, j)
 		if m.spot {
 			s -= 500 // what is dear is left to those who need it
 		}
@@ -216,6 +219,45 @@
 	}
 }
 
+// What a machine scores for an image that is there, and what it costs for each
+// second that a fetch takes. Users notice those of a service.
+const (
+	imageThere   = -400
+	fetchWhole   = 10
+	fetchArray   = 3
+	fetchMost    = 600
+	fetchForgets = time.Minute // a fetch that nobody waits for is given up
+)
+
+// fetchCost is what the fetch of a job's image adds to a machine's score. Images
+// that are fetched at a time may share a machine's rate, so some hundred services
+// that come together start far later if each machine takes one of every image.
+func (b *brain) fetchCost(m *machine, j *wire.Job) float64 {
+	if m.images[j.Image] {
+		return imageThere
+	}
+	t := b.types[m.typ]
+	if t == nil || !(t.FetchGBPS > 0) {
+		return 0
+	}
+	others, part := 0, 1.0
+	for image, at := range m.fetching {
+		switch {
+		case b.now.Sub(at) > fetchForgets:
+			delete(m.fetching, image)
+		case image == j.Image:
+			part = 0.5 // some of it is there
+		default:
+			others++
+		}
+	}
+	each := fetchArray
+	if j.Whole() {
+		each = fetchWhole
+	}
+	return min(float64(each)*part*j.ImageGB*float64(1+others)/t.FetchGBPS, fetchMost)
+}
+
 // open tells whether anything may be placed on a machine now. It is looked up
 // once in a step, not for each task.
 func (b *brain) open(m *machine, p *part) bool {
