--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -343,7 +343,9 @@
 					}
 				}
 				for i, n := range c.nodes {
-					if leaderGone && n.brain.leads() {
+					leads := false
+					n.brain.ask(c.ctx, func() { leads = n.brain.leads() })
+					if leaderGone && leads {
 						c.kill(i)
 						c.start(i)
 						break
