--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -33,11 +33,14 @@
 	clearing  bool // of gone markers
 	listed    bool // the list has been read since the lead was taken
 	typesAt   time.Time
+	// since when most of a zone's machines are out of reach, see cutZones
+	quietZones map[string]time.Time
+	cut        map[string]bool
 }
 
 func (b *brain) leaderGained(stamp uint64) {
 	b.lead = leader{epoch: stamp, term: stamp, since: b.now, rented: map[string]*rented{}, idle: map[string]time.Time{},
-		refused: map[core.Offer]time.Time{}, backoff: map[core.Offer]time.Duration{}, renting: map[core.Offer]int{}}
+		refused: map[core.Offer]time.Time{}, backoff: map[core.Offer]time.Duration{}, renting: map[core.Offer]int{}, quietZones: map[string]time.Time{}}
 	// A former leader's late writes fail by its key's version; what it did
 	// store is read before anything is dealt.
 	b.readThen(func() {
@@ -82,7 +85,7 @@
 		}
 	}
 	waiting, dealt := 0, 0
-	for _, j := range b.jobs {
+	for _, j := range b.atHand {
 		if j.fate == live && j.spec != nil {
 			n, _ := j.dealt()
 			waiting += j.spec.Tasks - n
@@ -98,10 +101,11 @@
 
 // finishJobs ends jobs whose tasks are all done and clears up behind final ones.
 func (b *brain) finishJobs() {
+	b.layDown()
 	budget := 8
 	// What is over can wait while the state service has more to do.
 	clear := b.wr.Backlog() < time.Second
-	for _, j := range b.jobs {
+	for _, j := range b.atHand {
 		if budget == 0 {
 			return
 		}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -26,23 +26,18 @@
 // stepPart lets the pending tasks of a part claim cells, highest claims first,
 // and stores what changed: ended attempts and new bindings.
 func (b *brain) stepPart(p *part) {
-	for _, m := range b.byIdx {
-		if (len(m.bound) > 0) && b.home(m) == p.n && (m.gone || b.leaseOver(m, p)) {
+	p.delist(func(m *machine) bool { return m.gone && len(m.bound) == 0 })
+	for _, m := range p.machines {
+		if len(m.bound) > 0 && (m.gone || b.leaseOver(m, p)) {
 			b.endAll(m, "its lease is over")
 		}
 	}
+	b.steps++
 	byUrgency := b.byUrgency()
-	p.pinned = map[*machine]bool{}
+	// Most records have nothing to do: all their tasks run.
 	var mine []*rec
-	for _, r := range b.recs {
-		if r != nil && r.job.spec != nil && r.job.spec.Whole() {
-			for i := range r.entries {
-				if m := r.entries[i].m; m != nil {
-					p.pinned[m] = true
-				}
-			}
-		}
-		if r != nil && r.part == p.n && r.job.spec != nil {
+	for _, r := range p.recs {
+		if r.job.spec != nil && (r.dirty || r.job.fate == live && r.placed < len(r.entries)) {
 			mine = append(mine, r)
 		}
 	}
@@ -50,9 +45,10 @@
 		cx, cy := x.claim(), y.claim()
 		return cmp.Or(cmp.Compare(cy.Level, cx.Level), boolCmp(cy.Own, cx.Own), byUrgency(x.job, y.job), cmp.Compare(x.k, y.k))
 	})
+	full := map[shape]bool{}
 	for _, r := range mine {
 		if !r.writing && r.job.fate == live && !b.now.Before(r.job.retryAt) {
-			b.place(p, r)
+			b.place(p, r, full)
 		}
 	}
 	for _, r := range mine {
@@ -66,6 +62,14 @@
 	}
 }
 
+// shape is what decides where tasks may be placed: where there is no room for one,
+// there is none for all others of the same shape.
+type shape struct {
+	sig, zone string
+	claim     core.Claim
+	mild      bool
+}
+
 // order is what a job's place among others depends on.
 func (b *brain) order(j *job) *core.Job {
 	_, finished := j.dealt()
@@ -74,6 +78,9 @@
 		Left: float64(j.spec.Tasks-finished) * j.spec.EstimateS * j.spec.CPUs}
 }
 
+// alikeS is within how many seconds jobs count as coming at the same time.
+const alikeS = 10
+
 // byUrgency compares jobs by priority and urgency, each looked at once.
 func (b *brain) byUrgency() func(x, y *job) int {
 	known := map[*job]core.Urgency{}
@@ -86,7 +93,10 @@
 		return u
 	}
 	return func(x, y *job) int {
-		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), of(x).Compare(of(y)), x.at.Compare(y.at), cmp.Compare(x.id, y.id))
+		// Of those that come at about the same time the ones with one image go
+		// together: a machine that comes up fetches one for all that it takes.
+		return cmp.Or(cmp.Compare(y.spec.Priority, x.spec.Priority), of(x).Compare(of(y)), cmp.Compare(x.at.Unix()/alikeS, y.at.Unix()/alikeS),
+			cmp.Compare(x.spec.Image, y.spec.Image), x.at.Compare(y.at), cmp.Compare(x.id, y.id))
 	}
 }
 
@@ -101,9 +111,10 @@
 }
 
 // place asks for cells for a record's pending tasks: all of a service's first
-// start together, everything else one by one. Tasks of one record are alike,
-// so the first that finds no room speaks for all behind it.
-func (b *brain) place(p *part, r *rec) {
+// start together, everything else one by one. Tasks of one shape are alike, so
+// the first that finds no room speaks for all behind it; full is what has found
+// none in this step.
+func (b *brain) place(p *part, r *rec, full map[shape]bool) {
 	pending, busy, started := b.pending(p, r)
 	if over := len(pending) - max(0, r.may()-(len(r.entries)-len(pending))); over > 0 {
 		pending = pending[:len(pending)-over]
@@ -129,10 +140,16 @@
 		}
 	}
 	score := b.scorer(p, r)
+	// An array's tasks wait a little before they stop others: cells come
+	// free all the time, and what is stopped has run for nothing.
+	s := shape{r.job.sig, r.zone, r.claim(), !spec.Whole() && b.now.Sub(r.since) < b.op.EvictAfter}
 	request := func(tasks ...core.Task) bool {
-		// An array's tasks wait a little before they stop others: cells come
-		// free all the time, and what is stopped has run for nothing.
-		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: r.claim(), Mild: !spec.Whole() && b.now.Sub(r.since) < b.op.EvictAfter}
+		// Machines that failed a job are barred to it alone.
+		alike := len(tasks) == 1 && len(r.job.failedOn) == 0
+		if alike && full[s] {
+			return false
+		}
+		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: s.claim, Mild: s.mild}
 		p.cells.Request(g, score)
 		switch g.State {
 		case core.Allocated:
@@ -143,6 +160,8 @@
 			for _, mi := range g.Machines {
 				b.kick(b.byIdx[mi])
 			}
+		case core.Pending:
+			full[s] = full[s] || alike
 		}
 		return g.State != core.Pending
 	}
@@ -164,7 +183,14 @@
 		e := &r.entries[i]
 		t := r.task(e.num)
 		started = started || e.attempt > 0
-		if _, ok := p.alloc[t]; ok || e.m != nil || p.cells.Waiting(t) != nil {
+		there := e.m != nil
+		if o, ok := b.outcomes[t]; there && ok && o.attempt == e.attempt && !o.done && !r.job.spec.Gang {
+			// Proven gone: its end and its next cell are stored together. Stored one
+			// after the other, they had the replicas of some hundred dead machines
+			// wait twice for the state service.
+			there = false
+		}
+		if _, ok := p.alloc[t]; ok || there || p.cells.Waiting(t) != nil {
 			busy = true
 			continue
 		}
@@ -178,20 +204,14 @@
 	j := r.job.spec
 	return func(mi int32, free core.Res) float64 {
 		m := b.byIdx[mi]
-		if !allowed(j, r.zone, m.typ, m.zone, m.spot) || !b.up(m, p) || !m.notice.IsZero() || m.suspect || b.now.Before(m.cooling) || m.failed[r.job.id] {
+		if !b.open(m, p) || !allowed(j, r.zone, m.typ, m.zone, m.spot) || len(m.failed) > 0 && m.failed[r.job.id] {
 			return -1
 		}
-		if b.closing[m.name] || b.leaving[m.name] || b.lends[m.name] != nil && p.n != b.lentPart() {
-			return -1
-		}
-		s := 1000.0
-		if m.images[j.Image] {
-			s -= 400
-		}
+		s := 1000.0 + b.fetchCost(m, j)
 		if m.spot {
 			s -= 500 // what is dear is left to those who need it
 		}
-		if p.pinned[m] {
+		if b.pinnedBy(m) {
 			s -= 150 // it stays anyhow
 		}
 		// Tight packing leaves whole machines free to be returned.
@@ -199,6 +219,71 @@
 	}
 }
 
+// What a machine scores for an image that is there, and what it costs for each
+// second that a fetch takes. Users notice those of a service.
+const (
+	imageThere   = -400
+	fetchWhole   = 10
+	fetchArray   = 3
+	fetchMost    = 600
+	fetchForgets = time.Minute // a fetch that nobody waits for is given up
+)
+
+// fetchCost is what the fetch of a job's image adds to a machine's score. Images
+// that are fetched at a time may share a machine's rate, so some hundred services
+// that come together start far later if each machine takes one of every image.
+func (b *brain) fetchCost(m *machine, j *wire.Job) float64 {
+	if m.images[j.Image] {
+		return imageThere
+	}
+	t := b.types[m.typ]
+	if t == nil || !(t.FetchGBPS > 0) {
+		return 0
+	}
+	others, part := 0, 1.0
+	for image, at := range m.fetching {
+		switch {
+		case b.now.Sub(at) > fetchForgets:
+			delete(m.fetching, image)
+		case image == j.Image:
+			part = 0.5 // some of it is there
+		default:
+			others++
+		}
+	}
+	each := fetchArray
+	if j.Whole() {
+		each = fetchWhole
+	}
+	return min(float64(each)*part*j.ImageGB*float64(1+others)/t.FetchGBPS, fetchMost)
+}
+
+// open tells whether anything may be placed on a machine now. It is looked up
+// once in a step, not for each task.
+func (b *brain) open(m *machine, p *part) bool {
+	if m.openAt != b.steps {
+		m.openAt = b.steps
+		m.open = b.up(m, p) && m.notice.IsZero() && !m.suspect && !b.now.Before(m.cooling) &&
+			!b.closing[m.name] && !b.leaving[m.name] && (b.lends[m.name] == nil || p.n == b.lentPart())
+	}
+	return m.open
+}
+
+// pinnedBy tells whether a service is bound to a machine, see core.Host. It is
+// looked up once in a step.
+func (b *brain) pinnedBy(m *machine) bool {
+	if m.pinnedAt != b.steps {
+		m.pinnedAt, m.pinned = b.steps, false
+		for _, r := range m.bound {
+			if r.job.spec != nil && r.job.spec.Whole() {
+				m.pinned = true
+				break
+			}
+		}
+	}
+	return m.pinned
+}
+
 // allowed tells whether a job's task may be on a machine at all.
 func allowed(j *wire.Job, pinned, typ, zone string, spot bool) bool {
 	return (len(j.Types) == 0 || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) &&
@@ -248,8 +333,6 @@
 				continue
 			}
 			e.m, e.session = nil, 0
-			next = append(next, e)
-			continue
 		}
 		if a, ok := p.alloc[t]; ok && e.m == nil && r.job.fate == live {
 			if a.m.gone || !b.up(a.m, p) {
@@ -268,6 +351,7 @@
 		next = append(next, e)
 	}
 	if !changed {
+		r.dirty = false
 		r.endedAt, r.boundAt = time.Time{}, time.Time{}
 		return
 	}
@@ -280,7 +364,7 @@
 			return
 		}
 	}
-	if len(bound) == 0 && len(next) > 0 && job.fate == live {
+	if len(bound) == 0 && len(next) > 0 && job.fate == live && !job.spec.Whole() {
 		// Ends alone can wait a little for each other: writes are scarce.
 		if r.endedAt.IsZero() {
 			r.endedAt = b.now
@@ -369,8 +453,8 @@
 			continue
 		}
 		all, deaf := 0, 0
-		for _, m := range b.byIdx {
-			if m.gone || m.heard.IsZero() || b.home(m) != p.n || b.now.Sub(m.heard) > 3*time.Minute {
+		for _, m := range p.machines {
+			if m.gone || m.heard.IsZero() || b.now.Sub(m.heard) > 3*time.Minute {
 				continue
 			}
 			all++
