--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -111,12 +112,15 @@
 	return c.call(ctx, http.MethodPost, "/rentals/release", wire.MachineNames{Machines: names}, nil)
 }
 
+// MaxList is how many machines one page of the list may have.
+const MaxList = 500
+
 // List reads the whole list of machines, which lags.
 func (c *Client) List(ctx context.Context) ([]wire.CloudMachine, error) {
 	var all []wire.CloudMachine
 	after := ""
 	for {
-		q := url.Values{"most": {"500"}}
+		q := url.Values{"most": {strconv.Itoa(MaxList)}}
 		if after != "" {
 			q.Set("since", after)
 		}
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -51,7 +51,8 @@
 	types     map[string]*wire.MachineType
 	typesKey  bool
 	holders   map[string]holder
-	gone      map[string]time.Time
+	gone      map[string]bool // machines that surely are, as long as a marker says so
+	goneKeys  map[string]gone
 	lends     map[string]*lend // by machine
 	teams     map[string]int32
 	maxRec    int
@@ -82,7 +83,9 @@
 	steps          uint64 // decisions of parts taken so far
 	// yieldUntil: this controller gave its rights up and takes none before then.
 	yieldUntil time.Time
-	metrics    *metrics
+	// wokeAt: this process stood still until then.
+	wokeAt  time.Time
+	metrics *metrics
 }
 
 // sibling is what another controller told last.
@@ -132,6 +135,12 @@
 	session uint64
 }
 
+// gone is a marker of machines that are gone, and since when it is known.
+type gone struct {
+	names []string
+	at    time.Time
+}
+
 // outcome is the proven end of an attempt.
 type outcome struct {
 	attempt uint64
@@ -269,7 +278,12 @@
 			b.typesKey = true
 		}
 	case strings.HasPrefix(key, preGone):
-		b.putGone(strings.TrimPrefix(key, preGone))
+		names := []string{strings.TrimPrefix(key, preGone)} // of an older version: true
+		var more []string
+		if json.Unmarshal(raw, &more) == nil && len(more) > 0 {
+			names = more
+		}
+		b.putGone(key, names)
 	case strings.HasPrefix(key, preLend):
 		var v lendValue
 		if err = json.Unmarshal(raw, &v); err == nil {
@@ -320,7 +334,10 @@
 			b.recs[r.idx] = nil
 		}
 	case strings.HasPrefix(key, preGone):
-		delete(b.gone, strings.TrimPrefix(key, preGone))
+		for _, n := range b.goneKeys[key].names {
+			delete(b.gone, n)
+		}
+		delete(b.goneKeys, key)
 	case strings.HasPrefix(key, preLend):
 		b.dropLend(strings.TrimPrefix(key, preLend))
 	default:
@@ -410,14 +427,15 @@
 	b.step()
 }
 
-func (b *brain) putGone(name string) {
-	b.gone[name] = b.now
-	m := b.machines[name]
-	if m == nil {
-		return
+func (b *brain) putGone(key string, names []string) {
+	b.goneKeys[key] = gone{names, b.now}
+	for _, name := range names {
+		b.gone[name] = true
+		if m := b.machines[name]; m != nil {
+			m.gone = true
+			b.endAll(m, "machine is gone")
+		}
 	}
-	m.gone = true
-	b.endAll(m, "machine is gone")
 	b.step()
 }
 
--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -67,7 +67,7 @@
 		if err := p.cells.Check(); err != nil {
 			t.Error(err)
 		}
-		b.putGone("host-1")
+		b.putGone(preGone+"host-1", []string{"host-1"})
 		if len(p.alloc) != 0 || len(p.cells.Tasks()) != 0 {
 			t.Errorf("%s: %d claims and %d cells on a lost machine", how, len(p.alloc), len(p.cells.Tasks()))
 		}
@@ -82,8 +82,9 @@
 	b.leaderGained(5)
 	b.lead.active = true
 	for i := range 3 {
-		b.gone[fmt.Sprintf("host-%d", i)] = b.now.Add(-time.Hour)
+		b.putGone(fmt.Sprint(preGone, "host-", i), []string{fmt.Sprint("host-", i)})
 	}
+	b.now = b.now.Add(time.Hour)
 	b.clearGone()
 	queued := b.wr.Backlog()
 	for range 20 {
@@ -166,3 +167,63 @@
 		t.Error("a deleted record is back")
 	}
 }
+
+// Machines that die together are released together, and what is stored of that is
+// one change, not one for each: their tasks wait for it. The marker names them all,
+// the form of older versions is understood, and deleting it forgets them all.
+func TestGoneTogether(t *testing.T) {
+	b := lone(t)
+	b.leaderGained(5)
+	b.lead.active = true
+	var names []string
+	for i := range 240 {
+		names = append(names, fmt.Sprintf("host-%06d", i))
+		b.machine(names[i]).heard = b.now
+	}
+	b.markGone(names)
+	if n := b.wr.Backlog(); n > time.Second/10 {
+		t.Errorf("the backlog is %v", n)
+	}
+	b.put(preGone+"host-000001", mustJSON(names[1:4]), 20)
+	b.put(preGone+"host-000009", mustJSON(true), 21)
+	for i, gone := range map[int]bool{0: false, 1: true, 2: true, 3: true, 4: false, 9: true} {
+		if b.machine(names[i]).gone != gone {
+			t.Errorf("%s is gone: %v", names[i], !gone)
+		}
+	}
+	b.drop(preGone+"host-000001", 22)
+	if len(b.gone) != 1 || len(b.goneKeys) != 1 {
+		t.Errorf("%d machines and %d markers are left", len(b.gone), len(b.goneKeys))
+	}
+}
+
+// A controller that no worker reaches gives its rights up. Many machines that fall
+// silent together are told from chance in a few seconds, few only in many: their
+// leases run, and they must still find the successor. What a process that stood
+// still finds in its sockets it has to read first.
+func TestNoWorkerReaches(t *testing.T) {
+	for _, x := range []struct {
+		machines int
+		after    time.Duration
+		woke     bool
+		gives    bool
+	}{
+		{200, 4 * time.Second, false, true}, {200, time.Second, false, false}, {200, 4 * time.Second, true, false},
+		{3, 4 * time.Second, false, false}, {3, 9 * time.Second, false, true},
+	} {
+		b := lone(t)
+		r := b.rights[b.parts[0].key]
+		r.stamp = 1
+		for i := range x.machines {
+			b.machine(fmt.Sprintf("host-%d", i)).heard = b.now
+		}
+		b.now = b.now.Add(x.after)
+		if x.woke {
+			b.wokeAt = b.now
+		}
+		b.watchHearing()
+		if gave := r.stamp == 0; gave != x.gives {
+			t.Errorf("%+v: rights given up: %v", x, gave)
+		}
+	}
+}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -69,7 +69,7 @@
 	m := b.machines[name]
 	if m == nil {
 		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), bound: map[core.Task]*rec{}, images: map[string]bool{}, fetching: map[string]time.Time{}, failed: map[string]bool{}}
-		_, m.gone = b.gone[name]
+		m.gone = b.gone[name]
 		m.home = b.homeOf(m)
 		b.machines[name] = m
 		b.byIdx = append(b.byIdx, m)
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"eiderhitch/internal/cloud"
@@ -110,8 +111,23 @@
 }
 
 // markGone stores that machines are gone, by whatever right is held: the lead, or
-// the machine's part.
+// the machine's part. All of a release share a marker: with one for each, some
+// hundred machines that die together took up what the state service allows while
+// their tasks waited for it.
 func (b *brain) markGone(names []string) {
+	type batch struct {
+		names []string
+		size  int
+	}
+	batches := map[wire.Condition]*batch{}
+	flush := func(right wire.Condition) {
+		names := batches[right].names
+		delete(batches, right)
+		key := preGone + names[0]
+		b.write(&store.Unit{Early: true, If: []wire.Condition{right, {Key: key}}, Then: []wire.Change{{Put: key, Value: mustJSON(names)}}},
+			func(error) { b.stay(names) })
+	}
+	most := int(b.cfg.Settings.State.ValueKB*1024) / 2
 	for _, n := range names {
 		r, m := b.lead.rented[n], b.machine(n)
 		delete(b.lead.rented, n)
@@ -130,10 +146,18 @@
 			b.stay([]string{n}) // whoever has the right by now asks again
 			continue
 		}
-		b.write(&store.Unit{Early: true,
-			If:   []wire.Condition{right, {Key: preGone + n}},
-			Then: []wire.Change{{Put: preGone + n, Value: mustJSON(true)}},
-		}, func(error) { b.stay([]string{n}) })
+		x := batches[right]
+		if x == nil {
+			x = &batch{}
+			batches[right] = x
+		}
+		x.names, x.size = append(x.names, n), x.size+len(n)+3
+		if x.size > most {
+			flush(right)
+		}
+	}
+	for right := range batches {
+		flush(right)
 	}
 }
 
@@ -161,6 +185,9 @@
 	b.release(names)
 }
 
+// listShare is the share of the cloud's calls that lists may take.
+const listShare = 0.15
+
 // tendCloud keeps the list of machines and the types current.
 func (b *brain) tendCloud() {
 	if b.now.Sub(b.lead.typesAt) > time.Minute || len(b.types) == 0 && b.now.Sub(b.lead.typesAt) > 2*time.Second {
@@ -172,7 +199,10 @@
 	if !b.leads() {
 		return
 	}
-	every := max(config.Seconds(b.cfg.Settings.Cloud.ListLagS)/2, 2*time.Second)
+	// A list of many machines is many calls, which must not crowd out rentals.
+	c := &b.cfg.Settings.Cloud
+	pages := 1 + len(b.lead.rented)/cloud.MaxList
+	every := max(config.Seconds(c.ListLagS/2), 2*time.Second, config.Seconds(float64(pages)/(listShare*c.RPS)))
 	if !b.lead.listBusy && b.now.Sub(b.lead.listAt) > every {
 		b.lead.listBusy, b.lead.listAt = true, b.now
 		epoch := b.lead.epoch
@@ -206,12 +236,16 @@
 	}
 	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}}}
 	keep := 2*time.Minute + 4*config.Seconds(b.cfg.Settings.Cloud.ListLagS)
-	for n, at := range b.gone {
+	for key, g := range b.goneKeys {
 		if len(u.Then) == b.cfg.Settings.State.TxnOps/4 {
 			break
 		}
-		if m := b.machines[n]; b.now.Sub(at) > keep && (m == nil || len(m.bound) == 0) {
-			u.Then = append(u.Then, wire.Change{Delete: preGone + n})
+		bound := slices.ContainsFunc(g.names, func(n string) bool {
+			m := b.machines[n]
+			return m != nil && len(m.bound) > 0
+		})
+		if b.now.Sub(g.at) > keep && !bound {
+			u.Then = append(u.Then, wire.Change{Delete: key})
 		}
 	}
 	if len(u.Then) == 0 {
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -334,10 +334,16 @@
 	report := config.Seconds(b.cfg.Settings.Workers.ReportS)
 	window := 2*report + 6*time.Second
 	known, heard, young := 0, false, false
-	// Many machines that all fall silent at once, and all siblings with them, say
-	// more in a short time than few do in a long one.
-	if n := b.reporting(); n > 0 && b.siblingsSilent(4*time.Second) {
-		window = min(window, max(20*report/time.Duration(n), report/2+4*time.Second))
+	// Many machines that all fall silent at once say more in a short time than few
+	// do in a long one: of n that report independently, none is heard for this
+	// long by chance once in e to the 20th. Their leases run meanwhile, and finding
+	// the successor takes them some seconds more.
+	if n := b.reporting(); n > 0 {
+		window = min(window, max(20*report/time.Duration(n), report/2+2*time.Second))
+	}
+	// What came while this process stood still waits in its sockets.
+	if b.now.Sub(b.wokeAt) < window {
+		return
 	}
 	for _, p := range b.parts {
 		if p.term == 0 {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -22,13 +22,15 @@
 )
 
 const (
-	inboxSize     = 1024
-	tick          = 100 * time.Millisecond
-	statusEvery   = 500 * time.Millisecond
-	metricsEvery  = 30 * time.Second
-	fleetEvery    = 10 * time.Second
-	watchWait     = 1500 * time.Millisecond
-	cloudQueue    = 64
+	inboxSize    = 1024
+	tick         = 100 * time.Millisecond
+	statusEvery  = 500 * time.Millisecond
+	metricsEvery = 30 * time.Second
+	fleetEvery   = 10 * time.Second
+	watchWait    = 1500 * time.Millisecond
+	cloudQueue   = 64
+	// stoodStill is how late a tick is when it is we who did not run.
+	stoodStill    = time.Second
 	minStepPeriod = 50 * time.Millisecond
 	// restFactor is how many times a step's duration passes before the next.
 	restFactor = 5
@@ -51,7 +53,7 @@
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
-		holders: map[string]holder{}, gone: map[string]time.Time{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
+		holders: map[string]holder{}, gone: map[string]bool{}, goneKeys: map[string]gone{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
 		outcomes: map[core.Task]outcome{}, doMost: max(s.Limits.MaxSockets/8, 8), metrics: newMetrics(), steps: 1,
 	}
@@ -131,7 +133,7 @@
 func (b *brain) loop() {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	var nextStatus, nextMetrics, nextLead, nextStep time.Time
+	var nextStatus, nextMetrics, nextLead, nextStep, lastTick time.Time
 	// Steps that take long are taken less often: reports, renewals and users must
 	// not wait for them.
 	step := func(now time.Time) {
@@ -155,6 +157,10 @@
 		case <-t.C:
 		}
 		b.now = time.Now()
+		if !lastTick.IsZero() && b.now.Sub(lastTick) > stoodStill {
+			b.wokeAt = b.now
+		}
+		lastTick = b.now
 		if !b.loaded {
 			continue
 		}
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -57,8 +57,11 @@
 // NewWriter returns a writer for transactions of at most ops changes. The state
 // service's limit of writeRPS changes a second is for all sharers together.
 func NewWriter(c *Client, ops int, writeRPS float64, sharers int) *Writer {
+	// What the service takes in a quarter of a minute may queue, and of usual units,
+	// which may be one for each of a thousand machines' tasks, in a whole one.
+	most := max(1024, int(writeRPS*15))
 	return &Writer{c: c, ops: ops, pace: newPace(writeRPS, sharers, ops),
-		urgent: make(chan *Unit, 1024), early: make(chan *Unit, 1024), usual: make(chan *Unit, 4096), workers: 4}
+		urgent: make(chan *Unit, most), early: make(chan *Unit, most), usual: make(chan *Unit, 4*most), workers: 4}
 }
 
 // Backlog is about how long it takes until what is queued is stored.
