--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -186,6 +186,18 @@
 	return names
 }
 
+// Within is, for each class that has such an objective, in how many seconds its
+// jobs should be done, whatever their deadlines.
+func (p *Platform) Within() map[string]float64 {
+	within := map[string]float64{}
+	for _, o := range p.Settings.Objectives {
+		if o.Kind == "finished" {
+			within[o.Class] = max(within[o.Class], o.WithinS)
+		}
+	}
+	return within
+}
+
 // drift bounds how far steady clocks of different machines drift apart.
 const drift = 0.0005
 
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -55,6 +55,7 @@
 	goneKeys  map[string]gone
 	lends     map[string]*lend // by machine
 	teams     map[string]int32
+	within    map[string]float64 // by class: seconds in which its jobs should be done
 	maxRec    int
 
 	// Reads on behalf of users.
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -74,7 +74,7 @@
 func (b *brain) order(j *job) *core.Job {
 	_, finished := j.dealt()
 	return &core.Job{Whole: j.spec.Whole(), NoDeadline: j.spec.NoDeadline, Begun: j.begun(), Turn: core.Turn(b.now.Unix()),
-		Age: b.now.Sub(j.at).Seconds(), Estimate: j.spec.EstimateS, Deadline: j.spec.DeadlineS,
+		Age: b.now.Sub(j.at).Seconds(), Estimate: j.spec.EstimateS, Deadline: j.spec.DeadlineS, Within: b.within[j.spec.Class],
 		Left: float64(j.spec.Tasks-finished) * j.spec.EstimateS * j.spec.CPUs}
 }
 
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -53,7 +53,7 @@
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
-		holders: map[string]holder{}, gone: map[string]bool{}, goneKeys: map[string]gone{}, lends: map[string]*lend{}, teams: map[string]int32{}, maxRec: maxEntries(s.State.ValueKB),
+		holders: map[string]holder{}, gone: map[string]bool{}, goneKeys: map[string]gone{}, lends: map[string]*lend{}, teams: map[string]int32{}, within: cfg.Within(), maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
 		outcomes: map[core.Task]outcome{}, doMost: max(s.Limits.MaxSockets/8, 8), metrics: newMetrics(), steps: 1,
 	}
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -5,7 +5,10 @@
 // of a machine, carved out when it is claimed; what is not carved out is Free.
 package core
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Res is an amount of each resource, in thousandths.
 type Res struct{ CPU, GPU, RAM int64 }
@@ -460,11 +463,23 @@
 		can = append(can[:best], can[best+1:]...)
 		out = append(out, c)
 		free = free.Plus(c.Size)
-		cost += 1 + 1000*weight(c)
+		cost += 1 + 1000*weight(c) + p.loss(c)
 	}
 	return out, cost
 }
 
+// loss is what stopping a cell's task loses beside others of its weight, below
+// one: those that were claimed before most others have run longest, and many are
+// about to end. In a few steps, so that among like ones the better machine wins.
+func (p *Part) loss(c *Cell) float64 {
+	if c.State == Reserved {
+		return 0
+	}
+	const steps = 4
+	older := float64(p.claims-c.age) / float64(2*len(p.used)+1)
+	return min(math.Floor(older*steps), steps-1) / (2 * steps)
+}
+
 // weight orders victims: reserved slices stop nobody, then by priority.
 func weight(c *Cell) float64 {
 	if c.State == Reserved {
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -12,6 +12,7 @@
 	Age               float64
 	Estimate          float64 // of one task's run time
 	Deadline          float64
+	Within            float64 // in which it should be done however late it is; 0: none
 	Left              float64 // work: unfinished tasks, their estimates and CPUs
 }
 
@@ -23,7 +24,8 @@
 // the time in which they go first.
 type Urgency struct {
 	// Late is -2: has waited too long, and it is its turn; -1: must begin; 0: in
-	// time, or has no deadline; 1: late by half as much again; 2: hopeless.
+	// time, or has no deadline; 1: late by half as much again; 2: late, and may
+	// still be done within what its class is meant to be; 3: hopeless.
 	Late int
 	Left float64
 }
@@ -68,8 +70,10 @@
 	case j.Age+j.Estimate <= j.Deadline:
 	case j.Age+j.Estimate <= 1.5*j.Deadline:
 		u.Late = 1
-	default:
+	case j.Age+j.Estimate <= j.Within:
 		u.Late = 2
+	default:
+		u.Late = 3
 	}
 	return u
 }
