--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -560,7 +560,11 @@
 	d := &wire.Direct{Token: term, Session: m.session, Commands: cmds}
 	// Counted from the decision, not from when it is sent: a process that stood
 	// still in between has no right to send it any more.
-	ctx, cancel := context.WithDeadline(b.ctx, b.now.Add(fleet.Timeout))
+	limit := fleet.Timeout
+	if len(cmds) == 0 {
+		limit = fleet.PingTimeout
+	}
+	ctx, cancel := context.WithDeadline(b.ctx, b.now.Add(limit))
 	go func() {
 		defer cancel()
 		r, ok, err := b.fl.Do(ctx, addr, d)
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -16,6 +16,9 @@
 // Timeout bounds a direct command; workers answer within milliseconds.
 const Timeout = 2 * time.Second
 
+// PingTimeout bounds one that only asks whether the machine is there.
+const PingTimeout = time.Second
+
 // Client sends direct commands.
 type Client struct{ http *http.Client }
 
