--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -369,12 +369,20 @@
 		if r.endedAt.IsZero() {
 			r.endedAt = b.now
 		}
-		if b.now.Sub(r.endedAt) < b.gatherEnds() {
+		gather := b.gatherEnds()
+		if doneN == r.done {
+			// Of tasks that were lost nobody waits to hear: they are stored with
+			// their next bindings, or when there is nothing more urgent.
+			gather = max(gather, b.wr.Backlog())
+		}
+		if b.now.Sub(r.endedAt) < gather {
 			return
 		}
 	}
 	r.endedAt, r.boundAt = time.Time{}, time.Time{}
-	u := &store.Unit{If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
+	// Services first: when hundreds of machines are lost together, or all leases have
+	// ended in an outage, what is to be stored takes longer than users wait.
+	u := &store.Unit{Early: job.spec.Whole(), If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
 	if job.fate == live {
 		// Binding and completing race with a cancellation: only one can hold.
 		u.If = append(u.If, wire.Condition{Key: jobKey(job.id), Version: job.stamp})
