--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -379,6 +379,7 @@
 	if j.stamp != 0 && j.fate != v.Fate {
 		b.log.Info("job is over", "job", id, "fate", fateNames[v.Fate])
 	}
+	before := j.fate
 	j.stamp, j.fate = stamp, v.Fate
 	if v.Job != nil {
 		j.spec = v.Job
@@ -390,6 +391,9 @@
 	if j.fate != live {
 		b.retire(j)
 		for _, r := range j.recs {
+			if before == live {
+				r.void() // it has the former version of the job among its conditions
+			}
 			b.cancelClaims(r, !r.writing)
 			for i := range r.entries {
 				if m := r.entries[i].m; m != nil {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -61,10 +61,14 @@
 	defer b.metrics.spend(dLead, time.Now())
 	b.finishJobs()
 	b.noteVouching()
+	hosts := b.hosts() // first: it notes which machines are up
+	b.cutZones()
+	// What is lost goes back at once, however long it takes until what is dealt is
+	// stored: others' tasks wait for the proof.
+	b.returnLost()
 	if b.lead.writes > 0 {
 		return
 	}
-	hosts := b.hosts()
 	b.logFleet(hosts)
 	b.tendLends(hosts)
 	wants := b.deal(hosts)
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -396,11 +396,11 @@
 			u.Then = append(u.Then, wire.Change{Put: jobKey(job.id), Value: mustJSON(jobValue{Fate: done})})
 		}
 	}
-	r.writing = true
+	r.writing, r.unit = true, u
 	b.metrics.count(cStored, 1)
 	term := p.term
 	b.write(u, func(err error) {
-		r.writing = false
+		r.writing, r.unit = false, nil
 		if ending {
 			job.ending = false
 		}
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -27,7 +27,6 @@
 	if len(b.types) == 0 {
 		return
 	}
-	b.cutZones()
 	plan := core.Fleet{All: append(slices.Clone(hosts), b.booting()...), Offers: b.offers(), Like: map[string]int{}, Plan: map[core.Offer]int{}}
 	for _, r := range b.recs {
 		if r != nil && r.job.spec != nil {
@@ -197,7 +196,7 @@
 	return max(config.Seconds(s), 10*time.Second)
 }
 
-// returnIdle releases machines that are idle, overdue, silent or suspect.
+// returnIdle releases machines that are idle.
 func (b *brain) returnIdle(hosts []*core.Host) {
 	var names []string
 	wanted := map[string]bool{}
@@ -217,6 +216,12 @@
 	for name := range wanted {
 		delete(b.lead.idle, name)
 	}
+	b.release(names)
+}
+
+// returnLost releases machines that are overdue, silent or suspect.
+func (b *brain) returnLost() {
+	var names []string
 	for name, r := range b.lead.rented {
 		t := b.types[r.typ]
 		// Only its part's owner can tell whether a machine is up: after a
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
 
@@ -191,11 +192,12 @@
 	placed   int // entries that name a machine
 	listed   int // one more than its place among its part's records; 0: in none
 	writing  bool
-	dirty    bool      // attempts have ended that are not stored as ended
-	endedAt  time.Time // since when ended attempts wait to be stored
-	boundAt  time.Time // since when new bindings wait to be stored
-	since    time.Time // when it came to its part
-	cappedAt time.Time // when the leader last changed its cap
+	unit     *store.Unit // its owner's write, while that waits or is on its way
+	dirty    bool        // attempts have ended that are not stored as ended
+	endedAt  time.Time   // since when ended attempts wait to be stored
+	boundAt  time.Time   // since when new bindings wait to be stored
+	since    time.Time   // when it came to its part
+	cappedAt time.Time   // when the leader last changed its cap
 }
 
 func (r *rec) task(num int32) core.Task { return core.Task{Rec: r.idx, Num: num} }
@@ -209,6 +211,13 @@
 	return nil
 }
 
+// void gives up a write of the record's owner whose conditions have changed.
+func (r *rec) void() {
+	if r.unit != nil {
+		r.unit.Void()
+	}
+}
+
 // bound counts the tasks that are on machines by what is stored.
 func (r *rec) bound() int {
 	return r.placed
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -193,6 +193,7 @@
 		if p.key == key {
 			p.term, p.active = 0, false
 			p.cells, p.alloc = nil, nil
+			p.voidWrites()
 		}
 	}
 }
@@ -312,11 +313,19 @@
 	})
 }
 
+// voidWrites gives up what waits to be stored under a term that has ended.
+func (p *part) voidWrites() {
+	for _, r := range p.recs {
+		r.void()
+	}
+}
+
 func (b *brain) termRaised(p *part, r *right, stamp uint64) {
 	if h := b.holders[p.key]; h.Boot != b.boot {
 		return
 	}
 	r.stamp, p.term = stamp, stamp
+	p.voidWrites()
 	if p.key == keyLeader {
 		b.lead.term = stamp
 	}
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -31,8 +31,14 @@
 	Done  func(revision uint64, err error)
 	size  int
 	tries int
+	void  atomic.Bool
 }
 
+// Void says that a condition of the unit is known to have failed meanwhile. It is
+// not tried any more: each that is found out by the state service fails all that
+// shares its transaction, which is sent, and counted, once more.
+func (u *Unit) Void() { u.void.Store(true) }
+
 // maxTxnBytes leaves room below the 64 KiB that a transaction may have.
 const maxTxnBytes = 56 << 10
 
@@ -231,6 +237,10 @@
 	for len(batch) > 0 {
 		now := time.Now()
 		batch = slices.DeleteFunc(batch, func(u *Unit) bool {
+			if u.void.Load() {
+				w.settle(u, 0, ErrConflict)
+				return true
+			}
 			if u.Expires.IsZero() || now.Before(u.Expires) {
 				return false
 			}
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -219,3 +219,43 @@
 		}
 	})
 }
+
+// A unit that is void by the time of its turn fails nothing that would have shared
+// its transaction.
+func TestVoidUnits(t *testing.T) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+		w.State.WriteRPS = 60
+		var wg sync.WaitGroup
+		var stored, void atomic.Int64
+		var units []*store.Unit
+		for i := range 300 {
+			wg.Add(1)
+			bad := i >= 100 && i%10 == 0
+			u := &store.Unit{Done: func(_ uint64, err error) {
+				defer wg.Done()
+				switch {
+				case err == nil:
+					stored.Add(1)
+				case bad && errors.Is(err, store.ErrConflict):
+					void.Add(1)
+				}
+			}}
+			u.If, u.Then = put(fmt.Sprintf("k%d", i), 0)
+			if bad {
+				u.If[0].Version = 99 // would fail
+				units = append(units, u)
+			}
+			wr.Submit(u)
+		}
+		for _, u := range units {
+			u.Void()
+		}
+		wg.Wait()
+		if stored.Load() != 280 || void.Load() != 20 {
+			t.Errorf("%d units are stored and %d void", stored.Load(), void.Load())
+		}
+		if n := c.Stats().Conflicts; n > 0 {
+			t.Errorf("%d transactions failed for void units", n)
+		}
+	})
+}
