--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -111,7 +111,7 @@
 	for i, t := range m.spent {
 		args = append(args, dutyNames[i]+"_ms", t.Milliseconds())
 	}
-	args = append(args, "state_watches", state.Watches, "state_txns", state.Txns, "state_changes", state.Changes,
+	args = append(args, "state_watches", state.Watches, "state_txns", state.Txns, "state_changes", state.Changes, "state_taken", state.Taken,
 		"state_renewals", state.Renewals, "state_refused", state.Refused, "state_conflicts", state.Conflicts)
 	m.counts, m.spent = [counters]int64{}, [duties]time.Duration{}
 	log.Info("counters", args...)
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -40,15 +40,15 @@
 	base string
 	http *http.Client
 
-	watches, txns, changes, renewals, refused, conflicts atomic.Int64
+	watches, txns, changes, taken, renewals, refused, conflicts atomic.Int64
 }
 
 // Stats are numbers of calls since the last Stats.
-type Stats struct{ Watches, Txns, Changes, Renewals, Refused, Conflicts int64 }
+type Stats struct{ Watches, Txns, Changes, Taken, Renewals, Refused, Conflicts int64 }
 
 // Stats tells how often the state service was called, and starts again at 0.
 func (c *Client) Stats() Stats {
-	return Stats{c.watches.Swap(0), c.txns.Swap(0), c.changes.Swap(0), c.renewals.Swap(0), c.refused.Swap(0), c.conflicts.Swap(0)}
+	return Stats{c.watches.Swap(0), c.txns.Swap(0), c.changes.Swap(0), c.taken.Swap(0), c.renewals.Swap(0), c.refused.Swap(0), c.conflicts.Swap(0)}
 }
 
 // NewClient returns a client that reaches the state service at addr by rt.
@@ -113,6 +113,7 @@
 	case err != nil:
 		return nil, err
 	case status == http.StatusOK:
+		c.taken.Add(int64(len(t.Then)))
 		return &out, nil
 	case status == http.StatusConflict:
 		c.conflicts.Add(1)
--- a/internal/store/pace.go
+++ b/internal/store/pace.go
@@ -28,6 +28,7 @@
 
 	batchS     = 0.3 // seconds' worth of changes in one transaction
 	leastBatch = 4
+	debtS      = 0.3 // seconds' worth of changes that users may put the others back
 )
 
 func newPace(writeRPS float64, sharers, ops int) *pace {
@@ -48,7 +49,11 @@
 func (p *pace) wait(ctx context.Context, n int, urgent bool) error {
 	n = min(n, p.limit.Burst())
 	if urgent {
-		p.limit.ReserveN(time.Now(), n)
+		// After an outage the first controller that users reach gets all that they
+		// have put off, for which it would else store nothing of its own for seconds.
+		if now := time.Now(); p.limit.TokensAt(now) > -debtS*p.rate() {
+			p.limit.ReserveN(now, n)
+		}
 		return nil
 	}
 	return p.limit.WaitN(ctx, n)
