--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -363,3 +363,66 @@
 		})
 	}
 }
+
+// A process that is back at once takes what its former self held right away, in a
+// term of its own: nothing waits for a lease that nobody renews any more.
+func TestRightsOfTheFormerSelf(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		time.Sleep(10 * time.Second)
+		terms := func(i int) (n int, sum uint64) {
+			b := c.nodes[i].brain
+			b.ask(c.ctx, func() {
+				for _, p := range b.parts {
+					if p.term != 0 && p.active {
+						n, sum = n+1, sum+p.term
+					}
+				}
+			})
+			return n, sum
+		}
+		for i := range c.nodes {
+			before, sum := terms(i)
+			c.kill(i)
+			time.Sleep(100 * time.Millisecond)
+			c.start(i)
+			c.await("its rights are back", 2500*time.Millisecond, func() bool {
+				now, later := terms(i)
+				return now >= before && later > sum
+			})
+		}
+	})
+}
+
+// Direct commands that hang hold a socket each: when hundreds of machines fall
+// silent together, few are asked at a time, half of the places are kept for
+// commands, and each machine has its turn.
+func TestDirectCommandsAreBounded(t *testing.T) {
+	b := crowded(t, 2000)
+	p := b.parts[0]
+	b.doMost = 40
+	b.now = b.now.Add(20 * time.Second)
+	b.freshAt = b.now
+	b.probeSilent()
+	if b.doOpen != 20 || b.doOpen+len(b.doQueue) != len(p.machines) || len(p.machines) < 300 {
+		t.Fatalf("%d commands are open and %d machines wait, of %d", b.doOpen, len(b.doQueue), len(p.machines))
+	}
+	asked := map[string]bool{}
+	for rounds := 0; len(b.doQueue) > 0; rounds++ {
+		if rounds > len(p.machines)/20 {
+			t.Fatal("a machine never has its turn")
+		}
+		b.doOpen = 0
+		b.doNext()
+		if b.doOpen > 20 {
+			t.Fatalf("%d commands are open", b.doOpen)
+		}
+	}
+	for _, m := range p.machines {
+		if m.doBusy {
+			asked[m.name] = true
+		}
+	}
+	if len(asked) != len(p.machines) {
+		t.Errorf("%d of %d machines were asked", len(asked), len(p.machines))
+	}
+}
