--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -159,12 +159,17 @@
 	return wants, lost
 }
 
-// slack is the time until a job's deadline.
+// slack is the time until a job's deadline, or until it should be done all the same.
 func (b *brain) slack(j *job) float64 {
 	if j.spec.NoDeadline {
 		return math.Inf(1)
 	}
-	return j.spec.DeadlineS - b.now.Sub(j.at).Seconds()
+	age := b.now.Sub(j.at).Seconds()
+	slack := j.spec.DeadlineS - age
+	if slack < j.spec.EstimateS { // too late for that, and perhaps not for its class's aim
+		slack = max(slack, b.within[j.spec.Class]-age)
+	}
+	return slack
 }
 
 // want is what a job's tasks that found no room ask of the fleet.
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -114,7 +114,11 @@
 	}
 	w := max(2*j.Estimate, 30)
 	if !j.NoDeadline {
-		w = min(w, max((j.Deadline-j.Age)*0.6, 10))
+		until := j.Deadline
+		if j.Age+j.Estimate > 1.5*j.Deadline {
+			until = max(until, j.Within)
+		}
+		w = min(w, max((until-j.Age)*0.6, 10))
 	}
 	return w
 }
