--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -123,6 +123,10 @@
 	// machines are those that are in the part, whoever owns it.
 	machines []*machine
 	recs     []*rec // that it is in charge of
+	queued   int    // tasks that found no cell in this step so far
+	// Cells that came free since endsSince, and in the time before that.
+	ends, endsBefore int
+	endsSince        time.Time
 	// mostQuiet as counted at a time, see there.
 	mostQuiet bool
 	countedAt time.Time
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -369,7 +369,9 @@
 		b.metrics.count(cLost, 1)
 	}
 	b.log.Debug("attempt over", "task", taskName(r.job.id, e.num), "attempt", e.attempt, "machine", e.m.name, "done", o.done)
-	b.freeCell(b.parts[e.m.home], t)
+	p := b.parts[e.m.home]
+	p.ended(b.now)
+	b.freeCell(p, t)
 	b.step()
 }
 
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -46,6 +46,7 @@
 		return cmp.Or(cmp.Compare(cy.Level, cx.Level), boolCmp(cy.Own, cx.Own), byUrgency(x.job, y.job), cmp.Compare(x.k, y.k))
 	})
 	full := map[shape]bool{}
+	p.queued = 0
 	for _, r := range mine {
 		if !r.writing && r.job.fate == live && !b.now.Before(r.job.retryAt) {
 			b.place(p, r, full)
@@ -143,10 +144,18 @@
 	// An array's tasks wait a little before they stop others: cells come
 	// free all the time, and what is stopped has run for nothing.
 	s := shape{r.job.sig, r.zone, r.claim(), !spec.Whole() && b.now.Sub(r.since) < b.op.EvictAfter}
+	// Where tasks end all the time, those at the head of the queue have a free cell
+	// before long; only what is behind them stops others, until all have waited.
+	patient := !spec.Whole() && b.now.Sub(r.since) < patience*b.op.EvictAfter
 	request := func(tasks ...core.Task) bool {
+		if patient && !s.mild {
+			s.mild = p.queued < p.endsWithin(b.now, b.op.EvictAfter)
+			defer func() { s.mild = false }()
+		}
 		// Machines that failed a job are barred to it alone.
 		alike := len(tasks) == 1 && len(r.job.failedOn) == 0
 		if alike && full[s] {
+			p.queued++
 			return false
 		}
 		g := &core.Group{Tasks: tasks, Need: r.job.need, Claim: s.claim, Mild: s.mild}
@@ -162,6 +171,7 @@
 			}
 		case core.Pending:
 			full[s] = full[s] || alike
+			p.queued++
 		}
 		return g.State != core.Pending
 	}
@@ -169,13 +179,39 @@
 		request(pending...)
 		return
 	}
-	for _, t := range pending {
-		if !request(t) {
+	for i, t := range pending {
+		if !request(t) && (!patient || s.mild || i >= p.endsWithin(b.now, b.op.EvictAfter)) {
 			return
 		}
 	}
 }
 
+// patience is how many times evict-after a task at the head of the queue waits.
+const patience = 2
+
+// rateOver is the time over which a part's ends are counted.
+const rateOver = 5 * time.Second
+
+// ended counts a cell that came free.
+func (p *part) ended(now time.Time) {
+	if now.Sub(p.endsSince) > rateOver {
+		p.endsBefore, p.ends = p.ends, 0
+		if now.Sub(p.endsSince) > 2*rateOver {
+			p.endsBefore = 0
+		}
+		p.endsSince = now
+	}
+	p.ends++
+}
+
+// endsWithin is about how many cells come free in d.
+func (p *part) endsWithin(now time.Time, d time.Duration) int {
+	if now.Sub(p.endsSince) > 2*rateOver {
+		return 0
+	}
+	return int(int64(p.endsBefore) * int64(d) / int64(rateOver))
+}
+
 // pending lists a record's tasks that neither are nor claim to be anywhere;
 // busy: others do; started: some have run before.
 func (b *brain) pending(p *part, r *rec) (out []core.Task, busy, started bool) {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -91,7 +91,7 @@
 	transport := func(perHost, idle int, keep time.Duration) *http.Transport {
 		return &http.Transport{MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, MaxIdleConns: idle, IdleConnTimeout: keep, DisableCompression: true}
 	}
-	state, cl, fl := transport(16, 16, 30*time.Second), transport(4, 4, 30*time.Second), transport(1, max(s.Limits.MaxSockets/6, 4), 20*time.Second)
+	state, cl, fl := transport(16, 16, 30*time.Second), transport(4, 4, 30*time.Second), transport(1, max(s.Limits.MaxSockets/8, 4), 20*time.Second)
 	var senders []*mesh.Sender
 	for _, x := range cfg.Siblings {
 		senders = append(senders, mesh.NewSender(x.Addr))
@@ -111,7 +111,8 @@
 		wg.Go(func() { s.Run(ctx) })
 	}
 	b.start(&wg)
-	conns := max(cfg.Settings.Limits.MaxSockets*2/3, 8)
+	// A controller that is left alone has all workers, each with a connection.
+	conns := max(cfg.Settings.Limits.MaxSockets*3/4, 8)
 	err = api.Serve(ctx, apiL, b, b.log, api.Limits{Connections: conns, Requests: max(conns/2, 4)})
 	if ctx.Err() != nil {
 		return nil
