--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -227,3 +227,31 @@
 		}
 	}
 }
+
+// An array's task within its team's guarantee stops others' after a while. Where
+// cells come free all the time it waits for one of those first, but not for long:
+// what is stopped has run for nothing.
+func TestHeadOfTheQueueWaits(t *testing.T) {
+	for _, x := range []struct {
+		waited time.Duration
+		ends   int
+		evicts bool
+	}{{2 * time.Second, 0, false}, {4 * time.Second, 0, true}, {4 * time.Second, 50, false}, {7 * time.Second, 50, true}} {
+		b := lone(t)
+		p := b.parts[0]
+		b.takeReport(b.machine("host-1"), &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
+		for i, team := range []string{"blue", "red"} {
+			id := fmt.Sprintf("wk-%d", i+1)
+			b.put(jobKey(id), raw(t, jobValue{Job: &wire.Job{ID: id, Tasks: 1, CPUs: 4, RAM: 1, Team: team, Priority: 1, NoDeadline: true}}), uint64(2*i+2))
+		}
+		b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: []entryValue{{Attempt: 1, Machine: "host-1", Session: 1}}}), 10)
+		b.put(groupKey("wk-2", 0), raw(t, groupValue{Own: true, Tasks: []entryValue{{}}}), 11)
+		r := b.recByKey[groupKey("wk-2", 0)]
+		r.since = b.now.Add(-x.waited)
+		p.endsBefore, p.endsSince = x.ends, b.now
+		b.place(p, r, map[shape]bool{})
+		if evicts := p.cells.Waiting(r.task(0)) != nil; evicts != x.evicts {
+			t.Errorf("%+v: evicts: %v", x, evicts)
+		}
+	}
+}
