--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -7,9 +7,12 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"eiderhitch/internal/fleet"
 	"eiderhitch/internal/standin"
 	"eiderhitch/internal/wire"
 )
@@ -426,3 +429,36 @@
 		t.Errorf("%d of %d machines were asked", len(asked), len(p.machines))
 	}
 }
+
+// counting counts requests that are sent.
+type counting struct{ sent atomic.Int64 }
+
+func (c *counting) RoundTrip(r *http.Request) (*http.Response, error) {
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	c.sent.Add(1)
+	return nil, http.ErrServerClosed
+}
+
+// A process that stands still between a decision and its sending has lost the right
+// to it by the time it wakes: the command is not sent.
+func TestNothingIsSentAfterStandingStill(t *testing.T) {
+	for _, still := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := lone(t)
+			out := &counting{}
+			b.fl = fleet.NewClient(out)
+			m := b.machine("host-1")
+			m.addr, m.session, m.heard = "10.1.0.1:1", 1, b.now
+			if still {
+				time.Sleep(5 * time.Second) // b.now is when it was decided
+			}
+			b.direct(m, b.parts[0], []wire.Command{{Op: wire.OpStart, Task: "wk-1/0", Attempt: 1}})
+			synctest.Wait()
+			if sent := out.sent.Load() > 0; sent == still {
+				t.Errorf("stood still %v: sent %v", still, sent)
+			}
+		})
+	}
+}
--- a/internal/mesh/frame_test.go
+++ b/internal/mesh/frame_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -52,3 +53,20 @@
 		t.Fatalf("another version: %v", err)
 	}
 }
+
+// The status of an owner of 2,000 machines, all of them being emptied, fits a frame.
+func TestStatusOfManyMachines(t *testing.T) {
+	s := &Status{Node: "perch-0", Boot: "0123456789abcdef", Parts: []uint64{0}}
+	for i := range 2000 {
+		name := fmt.Sprintf("host-%06d-in-a-long-name", i)
+		s.Machines = append(s.Machines, Machine{Name: name, Addr: "10.101.102.103:65535", Type: "a-large-type", Zone: "a-long-zone", Session: 1 << 40, Flags: Up})
+		s.Closing = append(s.Closing, name)
+	}
+	got, err := ReadStatus(bytes.NewReader(AppendStatus(nil, s)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(s, got); d != "" {
+		t.Error(d)
+	}
+}
