--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -85,8 +85,11 @@
 	// yieldUntil: this controller gave its rights up and takes none before then.
 	yieldUntil time.Time
 	// wokeAt: this process stood still until then.
-	wokeAt  time.Time
-	metrics *metrics
+	wokeAt time.Time
+	// lastTick is when the actor last came to its duties, laggedAt when it last
+	// came late to them: see lagging.
+	lastTick, laggedAt time.Time
+	metrics            *metrics
 }
 
 // sibling is what another controller told last.
@@ -501,6 +504,7 @@
 		if x.Machine != "" {
 			e.m = b.machine(x.Machine)
 			e.m.bound[r.task(x.Num)] = r
+			e.m.introduce(x.Addr, x.Session)
 			b.enlist(e.m) // one that is gone may have been forgotten
 			placed++
 		}
--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -6,6 +6,7 @@
 
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/fleet"
 	"eiderhitch/internal/mesh"
 )
 
@@ -78,7 +79,9 @@
 			if m.home != p.n {
 				continue
 			}
-			m.typ, m.zone, m.spot, m.addr = x.Type, x.Zone, x.Flags&mesh.Spot != 0, x.Addr
+			if x.Type != "" { // its owner has heard it
+				m.typ, m.zone, m.spot, m.addr = x.Type, x.Zone, x.Flags&mesh.Spot != 0, x.Addr
+			}
 			add(m, x.Flags)
 		}
 	}
@@ -124,7 +127,7 @@
 		p.countedAt = b.now
 		quiet, all := 0, 0
 		for _, m := range p.machines {
-			if m.gone || m.heard.IsZero() || b.now.Sub(m.heard) > 2*time.Minute {
+			if m.gone || !b.expected(m, 2*time.Minute) {
 				continue
 			}
 			all++
@@ -146,7 +149,14 @@
 		since = m.probeOK
 	}
 	if m.unanswered >= deafAfter {
-		return b.now.Sub(since) > b.quietAfter()
+		after := b.quietAfter()
+		if !m.heard.After(p.took(m)) {
+			// It is asked as soon as the part is taken over, and must not be found
+			// silent sooner than by an owner who goes on: whether its whole zone is
+			// out of reach shows no earlier.
+			after += deafAfter * fleet.PingTimeout
+		}
+		return b.now.Sub(since) > after
 	}
 	return b.now.Sub(since) > b.silentAfter()
 }
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -78,6 +78,26 @@
 	return m
 }
 
+// introduce notes what others have said of a machine: its address, and a session
+// that it has begun. Only the machine's own reports tell more.
+func (m *machine) introduce(addr string, session uint64) {
+	if m.addr == "" {
+		m.addr = addr
+	}
+	if session > m.session {
+		m.session, m.seq = session, 0
+	}
+}
+
+// expected tells whether a machine should report to its part's owner: it has of
+// late, or work is bound to it and it has not reported since a take-over.
+func (b *brain) expected(m *machine, within time.Duration) bool {
+	if m.heard.IsZero() {
+		return len(m.bound) > 0
+	}
+	return b.now.Sub(m.heard) <= within
+}
+
 // sizeMachine makes a machine's cells known to its part once its type is.
 func (b *brain) sizeMachine(m *machine) {
 	p := b.parts[m.home]
@@ -566,7 +586,8 @@
 	if len(cmds) == 0 {
 		limit = fleet.PingTimeout
 	}
-	ctx, cancel := context.WithDeadline(b.ctx, b.now.Add(limit))
+	begun := b.now
+	ctx, cancel := context.WithDeadline(b.ctx, begun.Add(limit))
 	go func() {
 		defer cancel()
 		r, ok, err := b.fl.Do(ctx, addr, d)
@@ -582,7 +603,11 @@
 				if started {
 					m.openDo = term
 				}
-				m.unanswered++
+				// With too little processor time it is we who were late: a hundred
+				// machines asked at a take-over would all seem dead.
+				if !b.laggedSince(begun) {
+					m.unanswered++
+				}
 				if m.unanswered >= deafAfter {
 					m.doRest = b.now.Add(3 * time.Second)
 				}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -498,7 +498,7 @@
 		}
 		all, deaf := 0, 0
 		for _, m := range p.machines {
-			if m.gone || m.heard.IsZero() || b.now.Sub(m.heard) > 3*time.Minute {
+			if m.gone || !b.expected(m, 3*time.Minute) {
 				continue
 			}
 			all++
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -219,7 +219,9 @@
 	b.release(names)
 }
 
-// returnLost releases machines that are overdue, silent or suspect.
+// returnLost releases machines that are overdue, silent or suspect. Silent ones wait
+// for the first list of a new lead: only the list tells the zone of a machine that
+// has not reported since a take-over, and its zone may be cut off.
 func (b *brain) returnLost() {
 	var names []string
 	for name, r := range b.lead.rented {
@@ -237,7 +239,7 @@
 		}
 	}
 	bad := func(m *machine, flags uint8) {
-		if flags&mesh.Silent != 0 && !b.lead.cut[b.zoneOf(m)] || flags&mesh.Suspect != 0 && (len(m.bound) == 0 || b.now.Sub(m.suspectAt) > 15*time.Second) {
+		if flags&mesh.Silent != 0 && b.lead.listed && !b.lead.cut[b.zoneOf(m)] || flags&mesh.Suspect != 0 && (len(m.bound) == 0 || b.now.Sub(m.suspectAt) > 15*time.Second) {
 			names = append(names, m.name)
 		}
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -94,6 +94,10 @@
 	Attempt uint64 `json:"a,omitempty"`
 	Machine string `json:"m,omitempty"`
 	Session uint64 `json:"s,omitempty"`
+	// Addr is where the machine takes direct commands. Who takes its part over with
+	// no one left to ask can so tell a machine that is dead from one that reports
+	// late, without waiting for the longest pause that a report may have.
+	Addr string `json:"h,omitempty"`
 }
 
 type job struct {
@@ -268,7 +272,7 @@
 	for _, e := range entries {
 		x := entryValue{Num: e.num, Attempt: e.attempt}
 		if e.m != nil {
-			x.Machine, x.Session = e.m.name, e.session
+			x.Machine, x.Session, x.Addr = e.m.name, e.session, e.m.addr
 		}
 		v.Tasks = append(v.Tasks, x)
 	}
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -177,7 +177,7 @@
 			continue
 		}
 		for _, m := range p.machines {
-			if !m.heard.IsZero() && len(m.bound) > 0 && b.silent(m, p) {
+			if len(m.bound) > 0 && b.silent(m, p) {
 				names = append(names, m.name)
 			}
 		}
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -245,12 +245,11 @@
 			continue
 		}
 		for _, x := range s.status.Machines {
-			if m := b.machine(x.Name); m.addr == "" {
-				m.addr, m.typ, m.zone, m.spot = x.Addr, x.Type, x.Zone, x.Flags&mesh.Spot != 0
-			}
-			if m := b.machine(x.Name); x.Session > m.session {
-				m.session, m.seq = x.Session, 0
+			m := b.machine(x.Name)
+			if m.typ == "" {
+				m.typ, m.zone, m.spot = x.Type, x.Zone, x.Flags&mesh.Spot != 0
 			}
+			m.introduce(x.Addr, x.Session)
 		}
 	}
 	for _, m := range p.machines {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -134,7 +134,7 @@
 func (b *brain) loop() {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	var nextStatus, nextMetrics, nextLead, nextStep, lastTick time.Time
+	var nextStatus, nextMetrics, nextLead, nextStep time.Time
 	// Steps that take long are taken less often: reports, renewals and users must
 	// not wait for them.
 	step := func(now time.Time) {
@@ -158,10 +158,13 @@
 		case <-t.C:
 		}
 		b.now = time.Now()
-		if !lastTick.IsZero() && b.now.Sub(lastTick) > stoodStill {
+		if !b.lastTick.IsZero() && b.now.Sub(b.lastTick) > stoodStill {
 			b.wokeAt = b.now
 		}
-		lastTick = b.now
+		if b.lagging() {
+			b.laggedAt = b.now
+		}
+		b.lastTick = b.now
 		if !b.loaded {
 			continue
 		}
@@ -192,6 +195,19 @@
 	}
 }
 
+// lagLimit is how late a tick is when answers to direct commands may well be here
+// and not be looked at yet.
+const lagLimit = fleet.PingTimeout / 4
+
+// lagging tells whether this process gets so little processor time just now that it
+// can't tell who is late: others or itself.
+func (b *brain) lagging() bool {
+	return !b.lastTick.IsZero() && b.now.Sub(b.lastTick) > tick+lagLimit
+}
+
+// laggedSince tells whether it did at any time since t.
+func (b *brain) laggedSince(t time.Time) bool { return b.lagging() || b.laggedAt.After(t) }
+
 // follow keeps the replica current.
 func (b *brain) follow() {
 	s := &b.cfg.Settings
