--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -150,10 +151,13 @@
 		{"settings.state.txn_ops", float64(s.State.TxnOps)}, {"settings.cloud.rps", s.Cloud.RPS},
 		{"settings.limits.mem_mb", s.Limits.MemMB}, {"settings.limits.max_sockets", float64(s.Limits.MaxSockets)},
 	} {
-		if !(v.value > 0) {
+		if !(v.value > 0) || math.IsInf(v.value, 0) {
 			return fmt.Errorf("%s: must be above 0, is %v", v.field, v.value)
 		}
 	}
+	if share := s.Limits.CPUShare; !(share >= 0) || math.IsInf(share, 0) {
+		return fmt.Errorf("settings.limits.cpu_share: must not be negative, is %v", share)
+	}
 	if s.State.TxnOps < 4 {
 		return fmt.Errorf("settings.state.txn_ops: %d changes a transaction are too few, 4 are needed", s.State.TxnOps)
 	}
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -61,6 +61,14 @@
 		{`cpus = 4.0`, `cpus = 9.0`, "settings.teams[0]"},
 		{`rps = 100.0`, `rps = "fast"`, "rps"},
 		{`mem_mb = 100.0`, `mem_mb = nan`, "settings.limits.mem_mb"},
+		{`mem_mb = 100.0`, `mem_mb = inf`, "settings.limits.mem_mb"},
+		{`mem_mb = 100.0`, `mem_mb = 0`, "settings.limits.mem_mb"},
+		{`mem_mb = 100.0`, `mem_mb = -65.0`, "settings.limits.mem_mb"},
+		{`mem_mb = 100.0`, ``, "settings.limits.mem_mb"},
+		{`mem_mb = 100.0`, `mem_mb = "much"`, "mem_mb"},
+		{`mem_mb = 100.0`, "mem_mb = 100.0\ncpu_share = -0.1", "settings.limits.cpu_share"},
+		{`mem_mb = 100.0`, "mem_mb = 100.0\ncpu_share = nan", "settings.limits.cpu_share"},
+		{`mem_mb = 100.0`, "mem_mb = 100.0\ncpu_share = \"half\"", "cpu_share"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, x.from, x.to, 1)))
 		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -64,12 +64,14 @@
 	counts [counters]int64
 	lat    [latencies]*hdrhistogram.Histogram
 	spent  [duties]time.Duration
+	lag    time.Duration // the latest that a tick of the actor came
+	usage  *usage
 }
 
 const longest = 10 * time.Minute
 
 func newMetrics() *metrics {
-	m := &metrics{}
+	m := &metrics{usage: newUsage()}
 	for i := range m.lat {
 		m.lat[i] = hdrhistogram.New(1, longest.Microseconds(), 2)
 	}
@@ -95,6 +97,13 @@
 	m.mu.Unlock()
 }
 
+// late notes by how much a tick of the actor came too late.
+func (m *metrics) late(d time.Duration) {
+	m.mu.Lock()
+	m.lag = max(m.lag, d)
+	m.mu.Unlock()
+}
+
 func (m *metrics) log(log *slog.Logger, jobs, machines int, state store.Stats) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -113,6 +122,8 @@
 	}
 	args = append(args, "state_watches", state.Watches, "state_txns", state.Txns, "state_changes", state.Changes, "state_taken", state.Taken,
 		"state_renewals", state.Renewals, "state_refused", state.Refused, "state_conflicts", state.Conflicts)
-	m.counts, m.spent = [counters]int64{}, [duties]time.Duration{}
+	args = append(args, "lag_ms", m.lag.Milliseconds())
+	args = append(args, m.usage.attrs()...)
+	m.counts, m.spent, m.lag = [counters]int64{}, [duties]time.Duration{}, 0
 	log.Info("counters", args...)
 }
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -161,6 +161,9 @@
 		if !b.lastTick.IsZero() && b.now.Sub(b.lastTick) > stoodStill {
 			b.wokeAt = b.now
 		}
+		if !b.lastTick.IsZero() {
+			b.metrics.late(b.now.Sub(b.lastTick) - tick)
+		}
 		if b.lagging() {
 			b.laggedAt = b.now
 		}
