--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -26,7 +26,7 @@
 	log   *slog.Logger
 	boot  string
 	ctx   context.Context
-	inbox chan func()
+	inbox *inbox
 	// cloudQ holds calls to the cloud that wait for their turn.
 	cloudQ chan func()
 	st     *store.Client
@@ -63,6 +63,7 @@
 	lastRead  time.Time
 	readNext  []chan error
 	readTimer bool
+	usersRead moment // the last one that succeeded
 
 	rights   map[string]*right
 	parts    []*part
@@ -156,20 +157,24 @@
 	err     bool
 }
 
-// post runs f in the actor; it blocks while the queue is full.
-func (b *brain) post(f func()) {
-	select {
-	case b.inbox <- f:
-	case <-b.ctx.Done():
-	}
-}
+// post runs f in the actor; it blocks while the lane is full.
+func (b *brain) post(l lane, f func()) { b.inbox.put(b.ctx, l, f) }
 
-// ask runs f in the actor and waits for it.
-func (b *brain) ask(ctx context.Context, f func()) bool {
+// ask runs f in the actor and waits for it. False means that f has not been run and
+// won't be, or that ctx ended meanwhile: nobody waits for what it says any more.
+func (b *brain) ask(ctx context.Context, l lane, f func()) bool {
 	ready := make(chan struct{})
-	select {
-	case b.inbox <- func() { f(); close(ready) }:
-	case <-ctx.Done():
+	g := func() {
+		if ctx.Err() == nil {
+			f()
+			close(ready)
+		}
+	}
+	if l == laneUsers {
+		if !b.inbox.putUser(g) {
+			return false
+		}
+	} else if !b.inbox.put(ctx, l, g) {
 		return false
 	}
 	select {
@@ -243,7 +248,7 @@
 	begun := b.now
 	u.Done = func(rev uint64, err error) {
 		// Never block the writer on a full inbox that waits for the writer.
-		go b.post(func() {
+		go b.post(laneState, func() {
 			b.metrics.observe(lCommit, b.now.Sub(begun))
 			if err == nil {
 				b.applied(u, rev)
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -591,7 +591,7 @@
 	go func() {
 		defer cancel()
 		r, ok, err := b.fl.Do(ctx, addr, d)
-		b.post(func() {
+		b.post(laneWorkers, func() {
 			b.doOpen--
 			defer b.doNext()
 			started := m.doStart
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -29,7 +29,7 @@
 		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) && !errors.Is(err, cloud.ErrRefused) {
 			names, err = b.cl.Rent(b.ctx, req) // unanswered: the same name rents nothing twice
 		}
-		b.post(func() {
+		b.post(laneWorkers, func() {
 			if b.lead.epoch != epoch {
 				return
 			}
@@ -86,7 +86,7 @@
 	b.toRelease = b.toRelease[len(batch):]
 	b.releasing = b.cloudCall(func() {
 		err := b.cl.Release(b.ctx, batch)
-		b.post(func() {
+		b.post(laneWorkers, func() {
 			b.releasing = false
 			if err != nil {
 				b.log.Debug("release failed", "machines", len(batch), "err", err)
@@ -208,7 +208,7 @@
 		epoch := b.lead.epoch
 		if !b.cloudCall(func() {
 			list, err := b.cl.List(b.ctx)
-			b.post(func() {
+			b.post(laneWorkers, func() {
 				if b.lead.epoch != epoch {
 					return
 				}
@@ -262,7 +262,7 @@
 
 func (b *brain) fetchTypes() {
 	list, err := b.cl.Types(b.ctx)
-	b.post(func() {
+	b.post(laneWorkers, func() {
 		if err != nil || len(list) == 0 {
 			b.log.Debug("machine types", "err", err)
 			return
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -97,7 +97,7 @@
 			_ = b.st.End(b.ctx, lease)
 		}
 	}
-	b.post(func() {
+	b.post(laneState, func() {
 		r.busy = false
 		if err != nil {
 			r.freeAt = b.now.Add(200 * time.Millisecond)
@@ -126,7 +126,7 @@
 		}
 		err := b.st.Renew(b.ctx, lease)
 		over := make(chan bool, 1)
-		b.post(func() {
+		b.post(laneState, func() {
 			if r.lease != lease {
 				over <- true
 				return
@@ -269,7 +269,7 @@
 	go func() {
 		select {
 		case err := <-ch:
-			b.post(func() {
+			b.post(laneState, func() {
 				if err != nil {
 					b.readThen(f)
 					return
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -22,7 +23,6 @@
 )
 
 const (
-	inboxSize    = 1024
 	tick         = 100 * time.Millisecond
 	statusEvery  = 500 * time.Millisecond
 	metricsEvery = 30 * time.Second
@@ -48,7 +48,7 @@
 	st := store.NewClient(cfg.External.State, out.state)
 	b := &brain{
 		cfg: cfg, op: op, log: log.With("node", cfg.Name), boot: fmt.Sprintf("%016x", rand.Uint64()), ctx: ctx,
-		inbox: make(chan func(), inboxSize), cloudQ: make(chan func(), cloudQueue),
+		inbox: newInbox(), cloudQ: make(chan func(), cloudQueue),
 		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS, s.Count),
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
@@ -101,12 +101,14 @@
 			s.Offer(frame)
 		}
 	}})
-	b.log.Info("controller starts", "boot", b.boot, "parts", s.Count, "hold", b.hold)
+	b.log.Info("controller starts", "boot", b.boot, "parts", s.Count, "hold", b.hold, "procs", runtime.GOMAXPROCS(0))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
 	defer func() { state.CloseIdleConnections(); cl.CloseIdleConnections(); fl.CloseIdleConnections() }()
-	wg.Go(func() { mesh.Serve(ctx, meshL, b.log, func(s *mesh.Status) { b.post(func() { b.takeStatus(s) }) }) })
+	wg.Go(func() {
+		mesh.Serve(ctx, meshL, b.log, func(s *mesh.Status) { b.post(laneWorkers, func() { b.takeStatus(s) }) })
+	})
 	for _, s := range senders {
 		wg.Go(func() { s.Run(ctx) })
 	}
@@ -131,70 +133,103 @@
 }
 
 // loop is the actor: it alone touches the brain's state.
+//
+// The order of its duties when there is too little processor time for all: first the
+// tick, which takes rights and notices their loss, then the lanes of the inbox in
+// their order, then the decisions of the parts, which start services before arrays,
+// and last the leader's planning. Each decision rests for several times as long as
+// it took, so that with less processor time it is taken less often, and what comes
+// later in the order still gets a share.
 func (b *brain) loop() {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	var nextStatus, nextMetrics, nextLead, nextStep time.Time
-	// Steps that take long are taken less often: reports, renewals and users must
-	// not wait for them.
-	step := func(now time.Time) {
-		b.stepDue = false
-		b.stepParts()
-		nextStep = now.Add(max(minStepPeriod, restFactor*time.Since(now)))
-	}
-	nextMetrics = time.Now().Add(metricsEvery)
+	var due deadlines
+	due.metrics = time.Now().Add(metricsEvery)
+	in := b.inbox
 	for {
 		select {
 		case <-b.ctx.Done():
 			return
-		case f := <-b.inbox:
-			b.now = time.Now()
-			f()
-			b.metrics.observe(lEvent, time.Since(b.now))
-			if b.stepDue && b.now.After(nextStep) {
-				step(time.Now())
-			}
-			continue
 		case <-t.C:
+			b.onTick(&due)
+			continue
+		default:
+		}
+		f := in.next()
+		if f == nil {
+			select {
+			case <-b.ctx.Done():
+				return
+			case <-t.C:
+				b.onTick(&due)
+				continue
+			case f = <-in.lanes[laneState]:
+			case f = <-in.lanes[laneWorkers]:
+			case f = <-in.lanes[laneUsers]:
+			}
 		}
 		b.now = time.Now()
-		if !b.lastTick.IsZero() && b.now.Sub(b.lastTick) > stoodStill {
-			b.wokeAt = b.now
+		f()
+		b.metrics.observe(lEvent, time.Since(b.now))
+		if b.stepDue && b.now.After(due.step) && !in.pressed(laneUsers) {
+			b.takeStep(&due, time.Now())
 		}
-		if !b.lastTick.IsZero() {
-			b.metrics.late(b.now.Sub(b.lastTick) - tick)
+	}
+}
+
+// deadlines are when the actor's duties are next due.
+type deadlines struct{ status, metrics, lead, step time.Time }
+
+// takeStep has the parts decide. Steps that take long are taken less often: reports,
+// renewals and users must not wait for them.
+func (b *brain) takeStep(due *deadlines, now time.Time) {
+	b.stepDue = false
+	b.stepParts()
+	due.step = now.Add(max(minStepPeriod, restFactor*time.Since(now)))
+}
+
+// planPatience is how long the leader's planning waits for reports that wait.
+const planPatience = time.Second
+
+// onTick does what is due by the time.
+func (b *brain) onTick(due *deadlines) {
+	b.now = time.Now()
+	if !b.lastTick.IsZero() {
+		b.metrics.late(b.now.Sub(b.lastTick) - tick)
+		if b.now.Sub(b.lastTick) > stoodStill {
+			b.wokeAt = b.now
 		}
 		if b.lagging() {
 			b.laggedAt = b.now
 		}
-		b.lastTick = b.now
-		if !b.loaded {
-			continue
-		}
-		b.tendRights()
-		b.watchHearing()
-		b.watchFollowers()
-		b.tendCloud()
-		if !b.now.Before(nextStep) {
-			step(b.now)
-		}
-		if !b.now.Before(nextLead) {
-			begun := time.Now()
-			b.leadStep()
-			nextLead = b.now.Add(max(2*tick, restFactor*time.Since(begun)))
-		}
-		if !b.now.Before(nextStatus) {
-			nextStatus = b.now.Add(statusEvery)
-			begun := time.Now()
-			b.probeSilent()
-			b.releaseSilent()
-			b.send(mesh.AppendStatus(nil, b.status()))
-			b.metrics.spend(dStatus, begun)
-		}
-		if b.now.After(nextMetrics) {
-			nextMetrics = b.now.Add(metricsEvery)
-			b.metrics.log(b.log, len(b.jobs), len(b.machines), b.st.Stats())
-		}
+	}
+	b.lastTick = b.now
+	if !b.loaded {
+		return
+	}
+	b.tendRights()
+	b.watchHearing()
+	b.watchFollowers()
+	b.tendCloud()
+	if !b.now.Before(due.step) {
+		b.takeStep(due, b.now)
+	}
+	if wait := b.now.Sub(due.lead); wait >= 0 && (wait > planPatience || !b.inbox.pressed(laneUsers)) {
+		begun := time.Now()
+		b.leadStep()
+		due.lead = b.now.Add(max(2*tick, restFactor*time.Since(begun)))
+	}
+	if !b.now.Before(due.status) {
+		due.status = b.now.Add(statusEvery)
+		begun := time.Now()
+		b.probeSilent()
+		b.releaseSilent()
+		b.send(mesh.AppendStatus(nil, b.status()))
+		b.metrics.spend(dStatus, begun)
+	}
+	if b.now.After(due.metrics) {
+		due.metrics = b.now.Add(metricsEvery)
+		b.metrics.log(b.log, len(b.jobs), len(b.machines), b.st.Stats())
 	}
 }
 
@@ -211,7 +246,8 @@
 // laggedSince tells whether it did at any time since t.
 func (b *brain) laggedSince(t time.Time) bool { return b.lagging() || b.laggedAt.After(t) }
 
-// follow keeps the replica current.
+// follow keeps the replica current. While users' reads do so it stands back: both
+// would ask for, and decode, the same changes.
 func (b *brain) follow() {
 	s := &b.cfg.Settings
 	pause := max(time.Duration(float64(time.Second)*float64(s.Count)/(s.State.RPS*0.25)), 100*time.Millisecond)
@@ -219,6 +255,13 @@
 	loaded := false
 	for b.ctx.Err() == nil {
 		start := time.Now()
+		if rest := b.usersRead.rest(start, 2*b.readGap()); loaded && rest > 0 {
+			select {
+			case <-b.ctx.Done():
+			case <-time.After(rest):
+			}
+			continue
+		}
 		var err error
 		if !loaded {
 			var items []wire.Item
@@ -230,7 +273,7 @@
 			}
 			if err == nil {
 				loaded = true
-				b.ask(b.ctx, func() {
+				b.ask(b.ctx, laneState, func() {
 					b.reset(items, rev, ev)
 					b.read(start)
 					cursor = b.cursor
@@ -240,7 +283,7 @@
 			ev, werr := b.st.Watch(b.ctx, prefix, cursor, watchWait)
 			err = werr
 			if err == nil {
-				b.ask(b.ctx, func() {
+				b.ask(b.ctx, laneState, func() {
 					b.events(ev)
 					b.read(start)
 					cursor = b.cursor
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		bound := -1
-		if n.brain.ask(c.ctx, func() { bound = len(n.brain.machine(name).bound) }) {
+		if n.brain.ask(c.ctx, laneState, func() { bound = len(n.brain.machine(name).bound) }) {
 			return bound
 		}
 	}
@@ -36,7 +36,7 @@
 func (c *cluster) holdersOf() map[string]string {
 	out := map[string]string{}
 	b := c.nodes[0].brain
-	b.ask(c.ctx, func() {
+	b.ask(c.ctx, laneState, func() {
 		for key, h := range b.holders {
 			out[key] = fmt.Sprint(h.Node, b.vers[key])
 		}
@@ -48,7 +48,7 @@
 func (c *cluster) dealtTo() int {
 	parts := map[int]bool{}
 	for _, n := range c.nodes {
-		n.brain.ask(c.ctx, func() {
+		n.brain.ask(c.ctx, laneState, func() {
 			if n.brain.leads() {
 				for _, h := range n.brain.hosts() {
 					parts[h.Part] = true
@@ -224,7 +224,7 @@
 		var lost *standin.Worker
 		for _, w := range c.world.Cloud.Workers() {
 			for _, n := range c.nodes {
-				n.brain.ask(c.ctx, func() {
+				n.brain.ask(c.ctx, laneState, func() {
 					m := n.brain.machine(w.Name())
 					if p := n.brain.parts[m.home]; p.term != 0 && !n.brain.leads() && len(m.bound) > 0 {
 						lost = w
@@ -347,7 +347,7 @@
 				}
 				for i, n := range c.nodes {
 					leads := false
-					n.brain.ask(c.ctx, func() { leads = n.brain.leads() })
+					n.brain.ask(c.ctx, laneState, func() { leads = n.brain.leads() })
 					if leaderGone && leads {
 						c.kill(i)
 						c.start(i)
@@ -374,7 +374,7 @@
 		time.Sleep(10 * time.Second)
 		terms := func(i int) (n int, sum uint64) {
 			b := c.nodes[i].brain
-			b.ask(c.ctx, func() {
+			b.ask(c.ctx, laneState, func() {
 				for _, p := range b.parts {
 					if p.term != 0 && p.active {
 						n, sum = n+1, sum+p.term
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"eiderhitch/internal/api"
@@ -17,6 +18,13 @@
 	return api.Answer{Status: http.StatusServiceUnavailable, RetryAfter: 1, Reason: why}
 }
 
+// busy tells a user to come back once the actor has done what waits for it.
+func (b *brain) busy() api.Answer {
+	a := unavailable("busy")
+	a.RetryAfter = b.inbox.backIn()
+	return a
+}
+
 // startRead begins a read of the replica for everybody who waits, unless one
 // is under way or was just done: users' reads share calls.
 func (b *brain) startRead() {
@@ -26,7 +34,7 @@
 	if gap := b.readGap() - b.now.Sub(b.lastRead); gap > 0 {
 		b.readTimer = true
 		time.AfterFunc(gap, func() {
-			b.post(func() { b.readTimer = false; b.startRead() })
+			b.post(laneState, func() { b.readTimer = false; b.startRead() })
 		})
 		return
 	}
@@ -40,11 +48,12 @@
 		if loaded {
 			ev, err = b.st.Watch(b.ctx, prefix, cursor, 0)
 		}
-		b.post(func() {
+		b.post(laneState, func() {
 			b.reading = false
 			if err == nil {
 				b.events(ev)
 				b.read(start)
+				b.usersRead.note(b.now)
 			}
 			for _, ch := range waiting {
 				ch <- err
@@ -61,6 +70,16 @@
 	}
 }
 
+// moment is a time that one goroutine notes and others look at.
+type moment struct{ unixNano atomic.Int64 }
+
+func (m *moment) note(t time.Time) { m.unixNano.Store(t.UnixNano()) }
+
+// rest is how long it is until d has passed since the moment.
+func (m *moment) rest(now time.Time, d time.Duration) time.Duration {
+	return min(d-now.Sub(time.Unix(0, m.unixNano.Load())), d)
+}
+
 // readGap spaces reads so that all controllers together use a quarter of the
 // state service's limit for them, and each no more than it has use for: those
 // who ask wait up to 2 s.
@@ -72,7 +91,7 @@
 // catchUp waits for a read of the replica that begins after now.
 func (b *brain) catchUp(ctx context.Context) error {
 	ch := make(chan error, 1)
-	if !b.ask(ctx, func() {
+	if !b.ask(ctx, laneUsers, func() {
 		b.readNext = append(b.readNext, ch)
 		b.startRead()
 	}) {
@@ -173,7 +192,7 @@
 	var ans api.Answer
 	var result chan error
 	check := false
-	if !b.ask(ctx, func() {
+	if !b.ask(ctx, laneUsers, func() {
 		switch {
 		case !b.loaded:
 			ans = unavailable("starting")
@@ -193,7 +212,7 @@
 			}, func(err error) { result <- err })
 		}
 	}) {
-		return unavailable("busy")
+		return b.busy()
 	}
 	if check {
 		return b.answerKnown(ctx, j)
@@ -223,7 +242,7 @@
 		return ans
 	}
 	why := ""
-	b.ask(ctx, func() { why = b.impossible(j) })
+	b.ask(ctx, laneUsers, func() { why = b.impossible(j) })
 	if why == "" {
 		return unavailable("try again")
 	}
@@ -240,7 +259,7 @@
 	}
 	var ans api.Answer
 	final := false
-	if !b.ask(ctx, func() {
+	if !b.ask(ctx, laneUsers, func() {
 		if !b.loaded {
 			ans, final = unavailable("starting"), true
 		} else if j := b.jobs[id]; j != nil && j.bad {
@@ -249,7 +268,7 @@
 			ans, final = api.Answer{Status: http.StatusOK, Body: j.state()}, true
 		}
 	}) {
-		return unavailable("busy")
+		return b.busy()
 	}
 	if final {
 		return ans
@@ -257,14 +276,14 @@
 	if err := b.catchUp(ctx); err != nil {
 		return unavailable("state service out of reach")
 	}
-	if !b.ask(ctx, func() {
+	if !b.ask(ctx, laneUsers, func() {
 		if j := b.known(id); j != nil {
 			ans = api.Answer{Status: http.StatusOK, Body: j.state()}
 		} else {
 			ans = api.Answer{Status: http.StatusNotFound, Reason: "no such job"}
 		}
 	}) {
-		return unavailable("busy")
+		return b.busy()
 	}
 	return ans
 }
@@ -281,7 +300,7 @@
 			return ans
 		}
 		result := make(chan error, 1)
-		if !b.ask(ctx, func() {
+		if !b.ask(ctx, laneUsers, func() {
 			j := b.known(id)
 			if j == nil || j.fate != live || j.spec == nil {
 				result <- store.ErrConflict
@@ -294,7 +313,7 @@
 				Then: []wire.Change{{Put: jobKey(id), Value: mustJSON(jobValue{Fate: cancelled, At: j.at.UnixMilli(), Job: j.spec})}},
 			}, func(err error) { result <- err })
 		}) {
-			return unavailable("busy")
+			return b.busy()
 		}
 		select {
 		case err := <-result:
@@ -308,7 +327,7 @@
 			return unavailable("state service: no answer")
 		}
 		if ctx.Err() != nil {
-			return unavailable("busy")
+			return b.busy()
 		}
 	}
 }
@@ -316,8 +335,8 @@
 // Report answers a worker.
 func (b *brain) Report(ctx context.Context, r *wire.Report) api.Answer {
 	var ans api.Answer
-	if !b.ask(ctx, func() { ans = b.report(r) }) {
-		return unavailable("busy")
+	if !b.ask(ctx, laneWorkers, func() { ans = b.report(r) }) {
+		return b.busy()
 	}
 	return ans
 }
@@ -327,7 +346,7 @@
 // since leaving and coming back would only make it longer for users.
 func (b *brain) Ready(ctx context.Context) bool {
 	ready := false
-	b.ask(ctx, func() {
+	b.ask(ctx, laneWorkers, func() {
 		known := b.loaded && len(b.types) > 0
 		if known && b.fresh(b.op.RightTTL+2*time.Second) {
 			ready = true
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -105,7 +105,7 @@
 		return
 	}
 	b := n.brain
-	if !b.ask(c.ctx, func() {
+	if !b.ask(c.ctx, laneState, func() {
 		for _, p := range b.parts {
 			if p.term == 0 || !p.active {
 				continue
@@ -153,7 +153,7 @@
 				c.t.Error(err)
 				return
 			}
-			go to.post(func() { to.takeStatus(s) })
+			go to.post(laneWorkers, func() { to.takeStatus(s) })
 		}
 	}})
 	n.mu.Lock()
