--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -153,6 +153,9 @@
 	return body, nil
 }
 
+// contentType is shared by all answers: nobody changes it.
+var contentType = []string{"application/json"}
+
 func write(w http.ResponseWriter, a Answer) {
 	body := a.Body
 	if body == nil {
@@ -164,8 +167,7 @@
 	if err != nil {
 		a.Status, raw = http.StatusInternalServerError, []byte("{}")
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.Header()["Content-Type"] = contentType
 	if a.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(a.RetryAfter))
 	}
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -276,35 +276,35 @@
 	switch {
 	case strings.HasPrefix(key, preGroup):
 		var v groupValue
-		if err = json.Unmarshal(raw, &v); err == nil {
+		if err = wire.Decode(raw, &v); err == nil {
 			b.putGroup(key, &v, stamp)
 		}
 	case strings.HasPrefix(key, preJob):
 		var v jobValue
-		if err = json.Unmarshal(raw, &v); err == nil {
+		if err = wire.Decode(raw, &v); err == nil {
 			b.putJob(strings.TrimPrefix(key, preJob), &v, stamp)
 		}
 	case key == keyTypes:
 		var v []wire.MachineType
-		if err = json.Unmarshal(raw, &v); err == nil {
+		if err = wire.Decode(raw, &v); err == nil {
 			b.putTypes(v)
 			b.typesKey = true
 		}
 	case strings.HasPrefix(key, preGone):
 		names := []string{strings.TrimPrefix(key, preGone)} // of an older version: true
 		var more []string
-		if json.Unmarshal(raw, &more) == nil && len(more) > 0 {
+		if wire.Decode(raw, &more) == nil && len(more) > 0 {
 			names = more
 		}
 		b.putGone(key, names)
 	case strings.HasPrefix(key, preLend):
 		var v lendValue
-		if err = json.Unmarshal(raw, &v); err == nil {
+		if err = wire.Decode(raw, &v); err == nil {
 			b.putLend(strings.TrimPrefix(key, preLend), &v, stamp)
 		}
 	default:
 		var v holder
-		if err = json.Unmarshal(raw, &v); err == nil {
+		if err = wire.Decode(raw, &v); err == nil {
 			b.holders[key] = v
 			b.rightSeen(key, v, stamp)
 		}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -232,7 +232,7 @@
 		m.answered = told
 	}
 	if newer && !m.gone && p.active {
-		ans.Commands = b.commands(m, p)
+		ans.Commands = append(ans.Commands, b.commands(m, p)...)
 		for _, c := range ans.Commands {
 			m.respOpen = m.respOpen || c.Op == wire.OpStart
 		}
@@ -251,6 +251,8 @@
 		m.openDo, m.respOpen = 0, false // commands of an earlier session are refused
 		m.mute = !m.answered.IsZero()   // it lost its lease: did it hear us at all?
 	}
+	// Most reports say nothing that changes a decision: a tick comes soon enough.
+	news := r.Session != m.session || r.Token != m.token || (r.NoticeS == nil) != m.notice.IsZero() || viaReport && !b.up(m, p)
 	m.session, m.seq, m.token = r.Session, r.Seq, r.Token
 	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
 	first := m.heard.Before(p.since)
@@ -281,7 +283,9 @@
 	if viaReport && (m.mute || m.token < p.gained) {
 		b.ping(m, p) // it answers, and shows our token, if it hears us
 	}
-	b.step()
+	if news {
+		b.step()
+	}
 	return true
 }
 
@@ -293,14 +297,14 @@
 	if m.openDo == p.term && m.openDo != 0 && !m.doBusy {
 		p.raise = true
 	}
-	shown := make(map[core.Task]bool, len(m.tasks))
+	shown := make(shownTasks, 0, len(m.tasks))
 	for i := range m.tasks {
 		t := &m.tasks[i]
 		j, r, e := b.lookup(t.Task)
 		if e == nil || e.m != m || e.attempt != t.Attempt || e.session != m.session {
 			continue
 		}
-		shown[r.task(e.num)] = true
+		shown.add(r.task(e.num))
 		if j.spec != nil && (t.State == wire.Running || t.State == wire.Saving) && j.spec.Image != "" {
 			m.images[j.spec.Image] = true
 			delete(m.fetching, j.spec.Image)
@@ -314,6 +318,9 @@
 		}
 		b.end(r, e, o)
 	}
+	if len(shown) == len(m.bound) {
+		return
+	}
 	for t, r := range m.bound {
 		e := r.find(t.Num)
 		if e == nil || e.m != m {
@@ -323,12 +330,24 @@
 			b.end(r, e, outcome{attempt: e.attempt}) // the earlier session killed all
 			continue
 		}
-		if !shown[t] && settled && b.wantStop(r, t, m, p) {
+		if settled && !shown.has(t) && b.wantStop(r, t, m, p) {
 			b.end(r, e, outcome{attempt: e.attempt})
 		}
 	}
 }
 
+// shownTasks are the bound tasks that a machine's report shows: few, so that a list
+// serves better than a map would.
+type shownTasks []core.Task
+
+func (s *shownTasks) add(t core.Task) {
+	if !s.has(t) { // a report may name one twice
+		*s = append(*s, t)
+	}
+}
+
+func (s shownTasks) has(t core.Task) bool { return slices.Contains(s, t) }
+
 func (b *brain) lookup(name string) (*job, *rec, *entry) {
 	id, num, ok := parseTask(name)
 	if !ok {
@@ -458,8 +477,8 @@
 // commands are what a machine should do, by its newest report.
 func (b *brain) commands(m *machine, p *part) []wire.Command {
 	var stops, starts []wire.Command
-	there := map[string]bool{} // tasks with an attempt that can't be reaped yet
-	shown := make(map[core.Task]bool, len(m.tasks))
+	var there []string // tasks with an attempt that can't be reaped yet
+	shown := make(shownTasks, 0, len(m.tasks))
 	open := m.openDo == p.term || m.doStart || m.respOpen
 	for i := range m.tasks {
 		t := &m.tasks[i]
@@ -469,7 +488,7 @@
 				zero := 0.0
 				stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 			} else if open || m.token != p.term {
-				there[t.Task] = true
+				there = append(there, t.Task)
 			} else {
 				// After a reap the worker knows the attempt no more, and a
 				// late start of it would run it again: only when none can come.
@@ -477,7 +496,7 @@
 			}
 			continue
 		}
-		shown[r.task(e.num)] = true
+		shown.add(r.task(e.num))
 		if t.State == wire.Exited || !b.wantStop(r, r.task(e.num), m, p) {
 			continue
 		}
@@ -489,23 +508,22 @@
 			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
 		}
 	}
+	if len(shown) == len(m.bound) {
+		return stops
+	}
 	for t, r := range m.bound {
 		e := r.find(t.Num)
-		if e == nil || shown[t] || e.session != m.session || b.wantStop(r, t, m, p) {
+		if e == nil || shown.has(t) || e.session != m.session || b.wantStop(r, t, m, p) {
 			continue
 		}
 		if o, ok := b.outcomes[t]; ok && o.attempt == e.attempt {
 			continue
 		}
-		if name := taskName(r.job.id, t.Num); !there[name] { // it would be refused
+		if name := taskName(r.job.id, t.Num); !slices.Contains(there, name) { // it would be refused
 			starts = append(starts, wire.Command{Op: wire.OpStart, Task: name, Attempt: e.attempt})
 		}
 	}
-	out := append(stops, starts...)
-	if out == nil {
-		out = []wire.Command{}
-	}
-	return out
+	return append(stops, starts...)
 }
 
 // kick sends a machine's commands at once, without waiting for its report.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -89,7 +89,7 @@
 		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 	case http.StatusOK, http.StatusConflict:
 		if out != nil {
-			if err := json.Unmarshal(raw, out); err != nil {
+			if err := wire.Decode(raw, out); err != nil {
 				return resp.StatusCode, fmt.Errorf("%w: %w", ErrUnknown, err)
 			}
 		}
--- /dev/null
+++ b/internal/wire/decode_test.go
@@ -0,0 +1,53 @@
+package wire
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func report(t *rapid.T) Report {
+	text := rapid.OneOf(rapid.StringMatching(`[a-z]{1,6}-[0-9]{1,6}`), rapid.String())
+	r := Report{Machine: text.Draw(t, "machine"), Addr: "10.0.0.1:9000", Type: text.Draw(t, "type"), Zone: text.Draw(t, "zone"),
+		Spot: rapid.Bool().Draw(t, "spot"), Session: rapid.Uint64().Draw(t, "session"), Seq: rapid.Uint64().Draw(t, "seq"), Token: rapid.Uint64().Draw(t, "token")}
+	if rapid.Bool().Draw(t, "noticed") {
+		n := rapid.Float64Range(0, 1e6).Draw(t, "notice")
+		r.NoticeS = &n
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "tasks") {
+		r.Tasks = append(r.Tasks, TaskReport{Task: text.Draw(t, "task"), Attempt: rapid.Uint64().Draw(t, "attempt"),
+			State: rapid.SampledFrom([]string{Fetching, Running, Saving, Exited}).Draw(t, "state"), Why: text.Draw(t, "why"), Saved: rapid.Bool().Draw(t, "saved")})
+	}
+	return r
+}
+
+// What the fast decoder makes of a document is what the standard one makes of it,
+// also where the document is spoilt: whatever the standard one refuses is refused.
+func TestDecodeAsTheStandardDoes(t *testing.T) {
+	refused := 0
+	rapid.Check(t, func(t *rapid.T) {
+		raw, err := json.Marshal(report(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rapid.Bool().Draw(t, "spoilt") {
+			at := rapid.IntRange(0, len(raw)-1).Draw(t, "at")
+			raw[at] = rapid.SampledFrom([]byte(`{}[]",:x0-. \n`)).Draw(t, "byte")
+		}
+		var want, got Report
+		wantErr, gotErr := json.Unmarshal(raw, &want), Decode(raw, &got)
+		if (wantErr == nil) != (gotErr == nil) {
+			t.Fatalf("%s: %v, standard: %v", raw, gotErr, wantErr)
+		}
+		if wantErr != nil {
+			refused++
+		} else if d := cmp.Diff(want, got); d != "" {
+			t.Fatalf("%s:\n%s", raw, d)
+		}
+	})
+	if refused == 0 {
+		t.Error("no document was spoilt enough to be refused")
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -249,7 +249,7 @@
 // ParseReport decodes and checks a report.
 func ParseReport(body []byte) (*Report, error) {
 	var r Report
-	if err := json.Unmarshal(body, &r); err != nil {
+	if err := Decode(body, &r); err != nil {
 		return nil, fmt.Errorf("report: %w", err)
 	}
 	if r.Machine == "" || r.Session == 0 {
