--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -61,7 +61,7 @@
 	// Reads on behalf of users.
 	reading   bool
 	lastRead  time.Time
-	readNext  []chan error
+	readNext  []func(err error)
 	readTimer bool
 	usersRead moment // the last one that succeeded
 
--- a/internal/controller/inbox.go
+++ b/internal/controller/inbox.go
@@ -33,8 +33,8 @@
 // inbox holds what the actor is to do.
 type inbox struct {
 	lanes [lanes]chan func()
-	// waited is how long the latest user's request waited, in nanoseconds.
-	waited atomic.Int64
+	// first is when the user's request that is next, or one before it, was queued.
+	first atomic.Pointer[time.Time]
 }
 
 func newInbox() *inbox {
@@ -58,18 +58,30 @@
 // putUser queues a user's request unless those before it wait for too long already:
 // then all are better off if it is told at once to come back.
 func (in *inbox) putUser(f func()) bool {
-	if len(in.lanes[laneUsers]) > 0 && time.Duration(in.waited.Load()) > usersMost {
+	at := time.Now()
+	if in.waiting(at) > usersMost {
 		return false
 	}
-	at := time.Now()
+	if len(in.lanes[laneUsers]) == 0 {
+		in.first.Store(&at)
+	}
 	select {
-	case in.lanes[laneUsers] <- func() { in.waited.Store(int64(time.Since(at))); f() }:
+	case in.lanes[laneUsers] <- func() { in.first.Store(&at); f() }:
 		return true
 	default:
 		return false
 	}
 }
 
+// waiting is about how long the user's request that is next has waited.
+func (in *inbox) waiting(now time.Time) time.Duration {
+	first := in.first.Load()
+	if first == nil || len(in.lanes[laneUsers]) == 0 {
+		return 0
+	}
+	return now.Sub(*first)
+}
+
 // next is what comes first by the order of the lanes; nil if there is nothing.
 func (in *inbox) next() func() {
 	for _, c := range in.lanes {
@@ -94,5 +106,5 @@
 
 // backIn is in how many seconds a user who is turned away should come back.
 func (in *inbox) backIn() int {
-	return 1 + int(min(time.Duration(in.waited.Load()), 29*time.Second)/time.Second)
+	return 1 + int(min(in.waiting(time.Now()), 29*time.Second)/time.Second)
 }
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -114,38 +114,44 @@
 	})
 }
 
-// keep renews the lease of a right until it is lost.
+// keep renews the lease of a right until it is lost. An actor that is slow keeps its
+// rights, since a sibling would hardly be faster and a change of hands costs both;
+// one that has not come round for a whole right-ttl can't serve, and lets them go.
 func (b *brain) keep(r *right, key string, lease uint64) {
 	t := time.NewTicker(b.op.RightTTL / 4)
 	defer t.Stop()
+	over := make(chan bool, 1)
+	asked := time.Time{} // since when the actor's answer is awaited; zero: it is not
 	for {
 		select {
 		case <-b.ctx.Done():
 			return
+		case o := <-over:
+			if o {
+				return
+			}
+			asked = time.Time{}
+			continue
 		case <-t.C:
 		}
+		if !asked.IsZero() && time.Since(asked) > b.op.RightTTL {
+			continue // not renewed before the actor is back
+		}
 		err := b.st.Renew(b.ctx, lease)
-		over := make(chan bool, 1)
-		b.post(laneState, func() {
-			if r.lease != lease {
-				over <- true
-				return
-			}
-			if errors.Is(err, store.ErrNoLease) {
+		ended := errors.Is(err, store.ErrNoLease)
+		if !asked.IsZero() && !ended {
+			continue
+		}
+		asked = time.Now()
+		go b.post(laneState, func() {
+			if r.lease == lease && ended {
 				b.lost(key, "lease ended")
-				over <- true
-				return
 			}
-			over <- false
-		})
-		select {
-		case <-b.ctx.Done():
-			return
-		case o := <-over:
-			if o {
-				return
+			select {
+			case over <- r.lease != lease:
+			default: // an earlier answer says the same
 			}
-		}
+		})
 	}
 }
 
@@ -263,22 +269,13 @@
 
 // readThen runs f after a successful read of the replica that begins now.
 func (b *brain) readThen(f func()) {
-	ch := make(chan error, 1)
-	b.readNext = append(b.readNext, ch)
-	b.startRead()
-	go func() {
-		select {
-		case err := <-ch:
-			b.post(laneState, func() {
-				if err != nil {
-					b.readThen(f)
-					return
-				}
-				f()
-			})
-		case <-b.ctx.Done():
+	b.afterRead(func(err error) {
+		if err != nil {
+			b.readThen(f)
+			return
 		}
-	}()
+		f()
+	})
 }
 
 // raiseTerm rewrites a part's key: a higher token, which fences commands that
--- /dev/null
+++ b/internal/controller/shortage_test.go
@@ -0,0 +1,200 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/api"
+	"eiderhitch/internal/wire"
+)
+
+// starve gives every controller's actor processor time in bursts only, each at a
+// phase of its own, until the function that it returns is called.
+func (c *cluster) starve(busy, free time.Duration) (stop func()) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	var wg sync.WaitGroup
+	for i, n := range c.nodes {
+		b := n.brain
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * (busy + free) / time.Duration(len(c.nodes)))
+			for ctx.Err() == nil {
+				b.post(laneState, func() { time.Sleep(busy) })
+				time.Sleep(busy + free)
+			}
+		})
+	}
+	return func() { cancel(); wg.Wait() }
+}
+
+// owners tells which node holds each right.
+func (c *cluster) owners() map[string]string {
+	out := map[string]string{}
+	b := c.nodes[0].brain
+	b.ask(c.ctx, laneState, func() {
+		for key, h := range b.holders {
+			out[key] = h.Node
+		}
+	})
+	return out
+}
+
+func same(x, y map[string]string) bool {
+	if len(x) != len(y) {
+		return false
+	}
+	for k, v := range x {
+		if y[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+// Controllers that are all slow serve on: no right changes hands, since whoever got
+// it would be as slow, no machine is taken for dead whose answers merely wait to be
+// read, and what users are told to come back with is taken before long.
+func TestSlowControllersServeOn(t *testing.T) {
+	for _, busy := range []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		t.Run(busy.String(), func(t *testing.T) {
+			inWorld(t, func(c *cluster) {
+				c.services(4, 2)
+				time.Sleep(10 * time.Second)
+				before, used := c.owners(), []string{}
+				for _, w := range c.world.Cloud.Workers() {
+					if c.boundTo(w.Name()) > 0 {
+						used = append(used, w.Name())
+					}
+				}
+				stop := c.starve(busy, 300*time.Millisecond)
+				time.Sleep(time.Minute)
+				if after := c.owners(); !same(before, after) {
+					t.Errorf("rights changed hands: %v, %v", before, after)
+				}
+				c.submit(jobBody("wk-9", wire.Array, "blue", "normal", 6, 2, 5))
+				c.await("the array begins", 40*time.Second, func() bool { return c.world.Running("wk-9")+c.world.Finished("wk-9") > 0 })
+				if !c.allRun(4, 2) {
+					t.Error("replicas are missing")
+				}
+				names := []string{}
+				for _, w := range c.world.Cloud.Workers() {
+					names = append(names, w.Name())
+				}
+				for _, name := range used {
+					if !slices.Contains(names, name) {
+						t.Errorf("%s was returned though it answers", name)
+					}
+				}
+				stop()
+				c.awaitDone("wk-9", 2*time.Minute)
+			})
+		})
+	}
+}
+
+// One that does not come round at all lets its rights go: its lease is not renewed
+// behind its back for ever.
+func TestStuckControllerLosesItsRights(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(4, 2)
+		time.Sleep(10 * time.Second)
+		lost := c.owners()
+		stuck := 2
+		c.nodes[stuck].brain.post(laneState, func() { time.Sleep(time.Minute) })
+		name := c.nodes[stuck].cfg.Name
+		time.Sleep(3*c.nodes[0].brain.op.RightTTL + time.Second)
+		for key, node := range c.owners() {
+			if lost[key] == name && node == name {
+				t.Errorf("%s is still with a controller that does not come round", key)
+			}
+		}
+		time.Sleep(time.Minute)
+		if !c.allRun(4, 2) {
+			t.Error("replicas are missing")
+		}
+	})
+}
+
+// Users of a controller that has no time for them are told at once when to come
+// back, instead of waiting in vain behind others, and are served when it has.
+func TestUsersAreTurnedAwayAtOnce(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", 2, 2, 5))
+		c.awaitDone("wk-1", 2*time.Minute)
+		b := c.nodes[0].brain
+		ctx, cancel := context.WithCancel(c.ctx)
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				b.ask(c.ctx, laneState, func() { time.Sleep(900 * time.Millisecond) })
+			}
+		})
+		var mu sync.Mutex
+		atOnce, served := 0, 0
+		for i := range 400 {
+			time.Sleep(25 * time.Millisecond)
+			wg.Go(func() {
+				limit, done := context.WithTimeout(c.ctx, 1800*time.Millisecond)
+				defer done()
+				begun := time.Now()
+				var ans api.Answer
+				if i%2 == 0 {
+					ans = b.Poll(limit, "wk-1")
+				} else {
+					ans = b.Poll(limit, fmt.Sprintf("wk-%d", 1000+i))
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case ans.Status == http.StatusServiceUnavailable && ans.RetryAfter < 1:
+					t.Error("a user is turned away without a time to come back")
+				case ans.Status == http.StatusServiceUnavailable && time.Since(begun) == 0:
+					atOnce++
+				case ans.Status == http.StatusOK:
+					served++
+				}
+			})
+		}
+		cancel()
+		wg.Wait()
+		if atOnce < 100 || served < 4 {
+			t.Errorf("of 400 users %d were turned away at once, %d served", atOnce, served)
+		}
+		time.Sleep(time.Second)
+		limit, done := context.WithTimeout(c.ctx, 1800*time.Millisecond)
+		defer done()
+		if ans := b.Poll(limit, "wk-1"); ans.Status != http.StatusOK {
+			t.Errorf("status %d when there is time again", ans.Status)
+		}
+	})
+}
+
+// What comes first in the order of duties is done first, whatever came first in time.
+func TestLanesInOrder(t *testing.T) {
+	in := newInbox()
+	var got []lane
+	for _, l := range []lane{laneUsers, laneWorkers, laneState, laneUsers, laneState, laneWorkers} {
+		f := func() { got = append(got, l) }
+		if l == laneUsers {
+			in.putUser(f)
+		} else {
+			in.put(t.Context(), l, f)
+		}
+	}
+	if !in.pressed(laneUsers) {
+		t.Error("reports wait, and nothing is said of it")
+	}
+	for f := in.next(); f != nil; f = in.next() {
+		f()
+	}
+	if !slices.Equal(got, []lane{laneState, laneState, laneWorkers, laneWorkers, laneUsers, laneUsers}) {
+		t.Errorf("done in the order %v", got)
+	}
+	if in.pressed(lanes) {
+		t.Error("something is left")
+	}
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -55,8 +55,8 @@
 				b.read(start)
 				b.usersRead.note(b.now)
 			}
-			for _, ch := range waiting {
-				ch <- err
+			for _, f := range waiting {
+				f(err)
 			}
 			b.startRead()
 		})
@@ -88,21 +88,11 @@
 	return max(time.Duration(float64(time.Second)*float64(s.Count)/(s.State.RPS*0.25)), 200*time.Millisecond)
 }
 
-// catchUp waits for a read of the replica that begins after now.
-func (b *brain) catchUp(ctx context.Context) error {
-	ch := make(chan error, 1)
-	if !b.ask(ctx, laneUsers, func() {
-		b.readNext = append(b.readNext, ch)
-		b.startRead()
-	}) {
-		return context.DeadlineExceeded
-	}
-	select {
-	case err := <-ch:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+// afterRead has f run in the actor with the result of a read of the replica that
+// begins after now.
+func (b *brain) afterRead(f func(err error)) {
+	b.readNext = append(b.readNext, f)
+	b.startRead()
 }
 
 // state is what a user is told of a known job.
@@ -257,35 +247,38 @@
 	if !wire.ValidID(id) {
 		return api.Answer{Status: http.StatusNotFound, Reason: "no such job"}
 	}
-	var ans api.Answer
-	final := false
+	// One turn of the actor for the question and one for the result of the read: each
+	// may be long in coming when there is little processor time.
+	answer := make(chan api.Answer, 1)
 	if !b.ask(ctx, laneUsers, func() {
-		if !b.loaded {
-			ans, final = unavailable("starting"), true
-		} else if j := b.jobs[id]; j != nil && j.bad {
-			ans, final = unavailable("a stored record of the job can't be decoded"), true
-		} else if j := b.known(id); j != nil && j.fate != live {
-			ans, final = api.Answer{Status: http.StatusOK, Body: j.state()}, true
+		j := b.jobs[id]
+		switch {
+		case !b.loaded:
+			answer <- unavailable("starting")
+		case j != nil && j.bad:
+			answer <- unavailable("a stored record of the job can't be decoded")
+		case j != nil && j.stamp != 0 && j.fate != live:
+			answer <- api.Answer{Status: http.StatusOK, Body: j.state()}
+		default:
+			b.afterRead(func(err error) {
+				if err != nil {
+					answer <- unavailable("state service out of reach")
+				} else if j := b.known(id); j != nil {
+					answer <- api.Answer{Status: http.StatusOK, Body: j.state()}
+				} else {
+					answer <- api.Answer{Status: http.StatusNotFound, Reason: "no such job"}
+				}
+			})
 		}
 	}) {
 		return b.busy()
 	}
-	if final {
+	select {
+	case ans := <-answer:
 		return ans
-	}
-	if err := b.catchUp(ctx); err != nil {
+	case <-ctx.Done():
 		return unavailable("state service out of reach")
 	}
-	if !b.ask(ctx, laneUsers, func() {
-		if j := b.known(id); j != nil {
-			ans = api.Answer{Status: http.StatusOK, Body: j.state()}
-		} else {
-			ans = api.Answer{Status: http.StatusNotFound, Reason: "no such job"}
-		}
-	}) {
-		return b.busy()
-	}
-	return ans
 }
 
 // Abort cancels a job.
