--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,7 +34,8 @@
 	Poll(ctx context.Context, id string) Answer
 	Abort(ctx context.Context, id string) Answer
 	Report(ctx context.Context, r *wire.Report) Answer
-	Ready(ctx context.Context) bool
+	// Ready must answer at once.
+	Ready() bool
 }
 
 // Limits of the interface.
@@ -48,7 +49,6 @@
 	userTimeout   = 4500 * time.Millisecond
 	pollTimeout   = 1800 * time.Millisecond
 	reportTimeout = 3500 * time.Millisecond
-	readyTimeout  = 900 * time.Millisecond
 	// maxReport bounds a worker's report: machines hold few tasks.
 	maxReport = 4 << 20
 )
@@ -99,10 +99,8 @@
 		return h.s.Abort(ctx, p.ByName("id"))
 	}))
 	r.GET("/ready", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		ctx, cancel := context.WithTimeout(r.Context(), readyTimeout)
-		defer cancel()
 		a := Answer{Status: http.StatusServiceUnavailable, Reason: "not ready"}
-		if h.s.Ready(ctx) {
+		if h.s.Ready() {
 			a = Answer{Status: http.StatusOK, Body: struct{}{}}
 		}
 		write(w, a)
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"eiderhitch/internal/cloud"
@@ -63,6 +64,8 @@
 	lastRead  time.Time
 	readNext  []func(err error)
 	readTimer bool
+	// readyAt is when this controller last was ready; nil: it is not.
+	readyAt   atomic.Pointer[time.Time]
 	usersRead moment // the last one that succeeded
 
 	rights   map[string]*right
--- a/internal/controller/inbox.go
+++ b/internal/controller/inbox.go
@@ -14,9 +14,9 @@
 	// laneState is for what the state service has said: it tells that rights are
 	// lost, and what of our own is stored.
 	laneState lane = iota
-	// laneWorkers is for reports, answers to direct commands, the cloud's answers,
-	// siblings and the balancer's probe. A report that is answered too late costs a
-	// lease, and with it work that must then be done once more.
+	// laneWorkers is for reports, answers to direct commands, the cloud's answers
+	// and siblings. A report that is answered too late costs a lease, and with it work
+	// that must then be done once more.
 	laneWorkers
 	// laneUsers is for users, who can be told to come back.
 	laneUsers
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -204,6 +204,7 @@
 		}
 	}
 	b.lastTick = b.now
+	b.noteReady()
 	if !b.loaded {
 		return
 	}
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -245,7 +245,7 @@
 		c.await("the service runs", 30*time.Second, func() bool { return c.world.Running("wk-8") == 2 })
 		c.awaitDone("wk-9", time.Minute)
 		for _, n := range c.nodes {
-			if !n.brain.Ready(c.ctx) {
+			if !n.brain.Ready() {
 				t.Error("a controller is not ready")
 			}
 		}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -334,17 +334,20 @@
 	return ans
 }
 
-// Ready tells the load balancer whether to send users. A controller that alone
-// can't reach the state service stands back; in an outage for all nobody does,
-// since leaving and coming back would only make it longer for users.
-func (b *brain) Ready(ctx context.Context) bool {
-	ready := false
-	b.ask(ctx, laneWorkers, func() {
-		known := b.loaded && len(b.types) > 0
-		if known && b.fresh(b.op.RightTTL+2*time.Second) {
-			ready = true
-			return
-		}
+// Ready tells the load balancer whether to send users. It does not wait for the
+// actor, but goes by what that said last: the balancer would take a probe that waits
+// for a failure, and send the users of a controller that is slow to others as slow.
+func (b *brain) Ready() bool {
+	at := b.readyAt.Load()
+	return at != nil && time.Since(*at) < b.op.RightTTL
+}
+
+// noteReady notes for Ready what the actor knows now. A controller that alone can't
+// reach the state service stands back; in an outage for all nobody does, since
+// leaving and coming back would only make it longer for users.
+func (b *brain) noteReady() {
+	ready := b.loaded && len(b.types) > 0 && b.fresh(b.op.RightTTL+2*time.Second)
+	if !ready {
 		heard, ok := false, false
 		for _, s := range b.siblings {
 			if s.status != nil && b.now.Sub(s.at) < 2500*time.Millisecond {
@@ -353,6 +356,11 @@
 			}
 		}
 		ready = heard && !ok
-	})
-	return ready
+	}
+	if ready {
+		now := b.now
+		b.readyAt.Store(&now)
+	} else {
+		b.readyAt.Store(nil)
+	}
 }
