--- a/cmd/eiderhitch/main.go
+++ b/cmd/eiderhitch/main.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"syscall"
@@ -36,9 +38,18 @@
 	}
 }
 
-// gcPercent trades memory, of which there is several times what a controller holds,
-// for processor time; the memory limit bounds it.
-const gcPercent = 300
+// live has the runtime keep to the platform's limits.
+func live(p *config.Platform, log *slog.Logger) {
+	m := p.Memory()
+	debug.SetGCPercent(m.Garbage)
+	debug.SetMemoryLimit(m.Limit)
+	// More threads than the share of processor time is for only wake each other up.
+	if n := int(math.Ceil(p.Settings.Limits.CPUShare)); n > 0 && n < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(n)
+	}
+	log.Info("limits", "node", p.Name, "memory_limit_mb", m.Limit>>20, "garbage_percent", m.Garbage,
+		"connections", p.Connections(), "direct_commands", p.DirectCommands(), "procs", runtime.GOMAXPROCS(0))
+}
 
 func run(c *cli) error {
 	level := slog.LevelInfo
@@ -58,14 +69,17 @@
 		}
 	}
 	if c.Check {
+		for _, w := range p.Warnings() {
+			fmt.Println("warning:", w)
+		}
 		fmt.Println("settings are valid")
 		return nil
 	}
-	// Leave room for what the runtime does not count: stacks of the C library,
-	// the binary itself, socket buffers.
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(p.Settings.Limits.MemMB * 0.6 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	for _, w := range p.Warnings() {
+		log.Warn("limit", "node", p.Name, "why", w)
+	}
+	live(p, log)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return controller.Run(ctx, p, op, log)
--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,71 @@
+package api
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/wire"
+)
+
+// idle answers without work.
+type idle struct{}
+
+func (idle) Submit(context.Context, *wire.Job) Answer { return Answer{Status: http.StatusCreated} }
+func (idle) Poll(context.Context, string) Answer      { return Answer{Status: http.StatusNotFound} }
+func (idle) Abort(context.Context, string) Answer     { return Answer{Status: http.StatusOK} }
+func (idle) Ready() bool                              { return true }
+func (idle) Report(context.Context, *wire.Report) Answer {
+	return Answer{Status: http.StatusOK, Body: wire.ReportAnswer{Token: 1, Commands: []wire.Command{}}}
+}
+
+// What connections hold bounds how many may be open: see config.Limits.
+func TestConnectionsHoldWhatIsPlannedFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const n = 300
+	go func() {
+		_ = Serve(ctx, l, idle{}, slog.New(slog.NewTextHandler(io.Discard, nil)), Limits{Connections: n, Requests: n})
+	}()
+	held := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	body := `{"perch":"host-000231","addr":"10.1.0.232:9000","hull":"g8","shore":"a","driftwood":true,"watch":1,"tally":88,"baton":41,"warningS":null,"eggs":[]}`
+	request := fmt.Sprintf("POST /v1/report HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	conns := make([]net.Conn, 0, n)
+	before := held()
+	for range n {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+		if _, err := io.WriteString(c, request); err != nil {
+			t.Fatal(err)
+		}
+		// Read without a buffer that would be counted for the server's.
+		var small [512]byte
+		if _, err := c.Read(small[:]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	each := int(held()-before) / n
+	if each > config.PerConnection {
+		t.Errorf("a connection holds %d bytes, %d are planned for", each, config.PerConnection)
+	}
+	t.Logf("a connection holds %d bytes", each)
+}
--- /dev/null
+++ b/internal/config/limits_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever the limits are, what the runtime may hold and what it does not count are
+// within the memory, and without a warning all connections and the records fit, with
+// as much garbage as is let stand.
+func TestMemoryFits(t *testing.T) {
+	warned, silent := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		p := &Platform{}
+		l := &p.Settings.Limits
+		l.MemMB = rapid.Float64Range(1, 1000).Draw(t, "mem_mb")
+		l.MaxSockets = rapid.IntRange(1, 5000).Draw(t, "max_sockets")
+		l.CPUShare, p.Settings.Count = 1, 1
+		m := p.Memory()
+		all := int64(l.MemMB * (1 << 20))
+		if m.Garbage < leastGarbage || m.Garbage > mostGarbage || m.Limit <= 0 {
+			t.Fatalf("%+v", m)
+		}
+		if l.MemMB > 8 && m.Limit+Beyond > all {
+			t.Fatalf("%+v is more than %d", m, all)
+		}
+		if strings.Contains(strings.Join(p.Warnings(), "\n"), "mem_mb") {
+			warned++
+			l.MemMB = float64(1 + m.Needed>>20)
+			if strings.Contains(strings.Join(p.Warnings(), "\n"), "mem_mb") {
+				t.Fatalf("%v MB are said to do and don't", l.MemMB)
+			}
+			return
+		}
+		silent++
+		sockets := int64(p.Connections()+p.DirectCommands()) * PerConnection
+		if held := sockets + Live*int64(100+m.Garbage)/100; held > m.Limit+1 {
+			t.Fatalf("%d sockets and the records hold %d of %d bytes", l.MaxSockets, held, m.Limit)
+		}
+	})
+	if warned == 0 || silent == 0 {
+		t.Errorf("%d limits warned of, %d not", warned, silent)
+	}
+}
+
+func TestLimitsThatAreSmallAreSaid(t *testing.T) {
+	for _, x := range []struct {
+		share, mem float64
+		sockets    int
+		said       []string
+	}{
+		{0.1, 100, 600, nil},
+		{0, 100, 600, []string{"cpu_share"}},
+		{0.002, 12, 600, []string{"mem_mb", "cpu_share"}},
+		{0.1, 100, 12, []string{"max_sockets"}},
+	} {
+		p := &Platform{}
+		p.Settings.Count = 3
+		p.Settings.Limits.CPUShare, p.Settings.Limits.MemMB, p.Settings.Limits.MaxSockets = x.share, x.mem, x.sockets
+		got := p.Warnings()
+		if len(got) != len(x.said) {
+			t.Errorf("%+v: %q", x, got)
+			continue
+		}
+		for i, field := range x.said {
+			if !strings.Contains(got[i], field) {
+				t.Errorf("%+v: %q", x, got)
+			}
+		}
+	}
+}
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"iter"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -46,8 +47,9 @@
 	vers      map[string]uint64
 	dropped   map[string]uint64 // tombstones until the cursor has passed them
 	jobs      map[string]*job
-	atHand    []*job // those that are not over and cleared up, and some that are
-	recs      []*rec // by dense index; nil where deleted
+	over      map[string]uint8 // fates of jobs that are over and cleared up
+	atHand    []*job           // those that are not over and cleared up, and some that are
+	recs      []*rec           // by dense index; nil where deleted
 	recByKey  map[string]*rec
 	types     map[string]*wire.MachineType
 	typesKey  bool
@@ -285,7 +287,15 @@
 	case strings.HasPrefix(key, preJob):
 		var v jobValue
 		if err = wire.Decode(raw, &v); err == nil {
-			b.putJob(strings.TrimPrefix(key, preJob), &v, stamp)
+			id := strings.TrimPrefix(key, preJob)
+			if _, over := b.over[id]; !over && (v.Fate == live || b.jobs[id] != nil) {
+				b.putJob(id, &v, stamp)
+				return
+			} else if !over {
+				// Nothing of it is left but this: most of what is read after a start.
+				b.over[id] = uint8(v.Fate)
+			}
+			delete(b.vers, key) // what is over stays so, whatever comes late
 		}
 	case key == keyTypes:
 		var v []wire.MachineType
@@ -365,7 +375,9 @@
 func (b *brain) job(id string) *job {
 	j := b.jobs[id]
 	if j == nil {
-		j = &job{id: id}
+		if j = b.known(id); j == nil {
+			j = &job{id: id}
+		}
 		b.jobs[id] = j
 		b.takeUp(j)
 	}
@@ -381,11 +393,20 @@
 	}
 }
 
-// layDown takes jobs that are over and cleared up out of those at hand.
+// layDown takes jobs that are over and cleared up out of those at hand. Of each no
+// more is kept than its fate, which is for ever: some fifty bytes a job.
 func (b *brain) layDown() {
 	b.atHand = slices.DeleteFunc(b.atHand, func(j *job) bool {
-		j.atHand = j.fate == live || len(j.recs) > 0
-		return !j.atHand
+		if j.fate == live || len(j.recs) > 0 {
+			return false
+		}
+		j.atHand = false
+		if j.stamp != 0 && !j.bad {
+			b.over[j.id] = uint8(j.fate)
+			delete(b.jobs, j.id)
+			delete(b.vers, jobKey(j.id)) // never written again
+		}
+		return true
 	})
 }
 
@@ -529,6 +550,19 @@
 	b.step()
 }
 
+// records goes through all records there are.
+func (b *brain) records() iter.Seq[*rec] {
+	return func(yield func(*rec) bool) {
+		for _, p := range b.parts {
+			for _, r := range p.recs {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // file moves a record to another part's list; -1: to none.
 func (b *brain) file(r *rec, part int) {
 	if r.listed > 0 && r.part == part {
--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"runtime"
 	"testing"
 	"time"
 
@@ -255,3 +256,47 @@
 		}
 	}
 }
+
+// Jobs are known for ever, by little more than their names: whoever asks gets the
+// answer that was given last, and each that is over costs what it is planned to.
+func TestJobsThatAreOver(t *testing.T) {
+	const jobs, each = 20_000, 160
+	b := lone(t)
+	held := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	spec := &wire.Job{Class: "c", Team: "t", Tasks: 1, Image: "img"}
+	before := held()
+	for i := range jobs {
+		spec.ID = fmt.Sprintf("wk-%08d", i)
+		stamp := uint64(2*i + 10)
+		if i%2 == 0 { // it ran here, else it is read after a start
+			b.put(jobKey(spec.ID), raw(t, jobValue{Job: spec}), stamp)
+		}
+		b.put(jobKey(spec.ID), raw(t, jobValue{Fate: cancelled + i/2%2}), stamp+1)
+	}
+	b.layDown()
+	if n := int(held()-before) / jobs; n > each {
+		t.Errorf("a job that is over holds %d bytes", n)
+	}
+	for _, x := range []struct {
+		id    string
+		state string
+	}{{"wk-00000000", wire.Cancelled}, {"wk-00000001", wire.Cancelled}, {"wk-00000002", wire.Done}, {"wk-00000003", wire.Done}} {
+		if j := b.known(x.id); j == nil || j.state().State != x.state {
+			t.Errorf("%s is %+v", x.id, j)
+		}
+	}
+	if b.known("wk-99999999") != nil {
+		t.Error("a job that nobody submitted is known")
+	}
+	// A late copy of an older change does not bring it back.
+	spec.ID = "wk-00000002"
+	b.put(jobKey(spec.ID), raw(t, jobValue{Job: spec}), 14)
+	if j := b.known(spec.ID); j.fate != done || len(b.jobs) != 0 {
+		t.Errorf("%s went back to %s", spec.ID, j.state().State)
+	}
+}
--- a/internal/controller/caps.go
+++ b/internal/controller/caps.go
@@ -17,8 +17,8 @@
 func (b *brain) squeeze(j *job, lack core.Res) {
 	level := j.spec.Priority
 	var from []*rec
-	for _, r := range b.recs {
-		if r == nil || r.job == j || r.job.spec == nil || r.job.team != j.team || r.job.fate != live || r.job.spec.Whole() || r.job.spec.Priority > level {
+	for r := range b.records() {
+		if r.job == j || r.job.spec == nil || r.job.team != j.team || r.job.fate != live || r.job.spec.Whole() || r.job.spec.Priority > level {
 			continue
 		}
 		if r.cap != 0 { // what is on its way out already
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -17,8 +17,8 @@
 		t := &b.cfg.Settings.Teams[i]
 		out[b.team(t.Name)] = core.Limit{Guarantee: core.Amount(t.CPUs, t.GPUs, 0), Max: core.Amount(t.CPUsMax, t.GPUsMax, 0)}
 	}
-	for _, r := range b.recs {
-		if r == nil || r.job.spec == nil {
+	for r := range b.records() {
+		if r.job.spec == nil {
 			continue
 		}
 		// A dealt task counts for its team's limit whether it runs or not; one
@@ -108,8 +108,8 @@
 // what found none anywhere, and how much of each record that is.
 func (b *brain) settleDealt(hosts []*core.Host, byUrgency func(x, y *job) int) (wants []core.Want, lost map[*rec]int) {
 	var recs, stuck []*rec
-	for _, r := range b.recs {
-		if r != nil && r.job.fate == live && r.job.spec != nil && r.job.stamp != 0 && r.may() > r.bound() {
+	for r := range b.records() {
+		if r.job.fate == live && r.job.spec != nil && r.job.stamp != 0 && r.may() > r.bound() {
 			recs = append(recs, r)
 		}
 	}
@@ -193,8 +193,8 @@
 func (b *brain) dealAhead(lost map[*rec]int) []int {
 	ahead := make([]float64, len(b.parts))
 	t := b.turnaround().Seconds()
-	for _, r := range b.recs {
-		if r != nil && r.job.spec != nil && !r.job.spec.Whole() && r.part >= 0 && r.part < len(ahead) {
+	for r := range b.records() {
+		if r.job.spec != nil && !r.job.spec.Whole() {
 			ahead[r.part] += core.Ahead(r.bound(), r.job.spec.EstimateS, t)
 		}
 	}
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -28,8 +28,8 @@
 		return
 	}
 	plan := core.Fleet{All: append(slices.Clone(hosts), b.booting()...), Offers: b.offers(), Like: map[string]int{}, Plan: map[core.Offer]int{}}
-	for _, r := range b.recs {
-		if r != nil && r.job.spec != nil {
+	for r := range b.records() {
+		if r.job.spec != nil {
 			plan.Like[r.job.spec.Class] += r.bound()
 		}
 	}
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -239,10 +239,8 @@
 			delete(b.outcomes, t)
 		}
 	}
-	for _, r := range b.recs {
-		if r != nil {
-			b.adopt(r)
-		}
+	for r := range b.records() {
+		b.adopt(r)
 	}
 	// Machines that know us from before, or that siblings know, hear the new
 	// token at once, so that they turn to us.
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime"
 	"sync"
 	"time"
 
@@ -52,10 +51,10 @@
 		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS, s.Count),
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
-		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, recByKey: map[string]*rec{},
+		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, over: map[string]uint8{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]bool{}, goneKeys: map[string]gone{}, lends: map[string]*lend{}, teams: map[string]int32{}, within: cfg.Within(), maxRec: maxEntries(s.State.ValueKB),
 		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
-		outcomes: map[core.Task]outcome{}, doMost: max(s.Limits.MaxSockets/8, 8), metrics: newMetrics(), steps: 1,
+		outcomes: map[core.Task]outcome{}, doMost: cfg.DirectCommands(), metrics: newMetrics(), steps: 1,
 	}
 	b.now = time.Now()
 	b.startedAt = b.now
@@ -91,7 +90,7 @@
 	transport := func(perHost, idle int, keep time.Duration) *http.Transport {
 		return &http.Transport{MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, MaxIdleConns: idle, IdleConnTimeout: keep, DisableCompression: true}
 	}
-	state, cl, fl := transport(16, 16, 30*time.Second), transport(4, 4, 30*time.Second), transport(1, max(s.Limits.MaxSockets/8, 4), 20*time.Second)
+	state, cl, fl := transport(16, 16, 30*time.Second), transport(4, 4, 30*time.Second), transport(1, cfg.DirectCommands(), 20*time.Second)
 	var senders []*mesh.Sender
 	for _, x := range cfg.Siblings {
 		senders = append(senders, mesh.NewSender(x.Addr))
@@ -101,7 +100,7 @@
 			s.Offer(frame)
 		}
 	}})
-	b.log.Info("controller starts", "boot", b.boot, "parts", s.Count, "hold", b.hold, "procs", runtime.GOMAXPROCS(0))
+	b.log.Info("controller starts", "boot", b.boot, "parts", s.Count, "hold", b.hold)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
@@ -113,8 +112,7 @@
 		wg.Go(func() { s.Run(ctx) })
 	}
 	b.start(&wg)
-	// A controller that is left alone has all workers, each with a connection.
-	conns := max(cfg.Settings.Limits.MaxSockets*3/4, 8)
+	conns := cfg.Connections()
 	err = api.Serve(ctx, apiL, b, b.log, api.Limits{Connections: conns, Requests: max(conns/2, 4)})
 	if ctx.Err() != nil {
 		return nil
@@ -230,7 +228,8 @@
 	}
 	if b.now.After(due.metrics) {
 		due.metrics = b.now.Add(metricsEvery)
-		b.metrics.log(b.log, len(b.jobs), len(b.machines), b.st.Stats())
+		b.layDown()
+		b.metrics.log(b.log, len(b.jobs)+len(b.over), len(b.machines), b.st.Stats())
 	}
 }
 
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -118,10 +118,14 @@
 	return s
 }
 
+// known is the job of that name, if one was ever accepted.
 func (b *brain) known(id string) *job {
 	if j := b.jobs[id]; j != nil && j.stamp != 0 {
 		return j
 	}
+	if fate, ok := b.over[id]; ok {
+		return &job{id: id, stamp: 1, fate: int(fate)}
+	}
 	return nil
 }
 
@@ -251,13 +255,13 @@
 	// may be long in coming when there is little processor time.
 	answer := make(chan api.Answer, 1)
 	if !b.ask(ctx, laneUsers, func() {
-		j := b.jobs[id]
+		j := b.known(id)
 		switch {
 		case !b.loaded:
 			answer <- unavailable("starting")
-		case j != nil && j.bad:
+		case b.jobs[id] != nil && b.jobs[id].bad:
 			answer <- unavailable("a stored record of the job can't be decoded")
-		case j != nil && j.stamp != 0 && j.fate != live:
+		case j != nil && j.fate != live:
 			answer <- api.Answer{Status: http.StatusOK, Body: j.state()}
 		default:
 			b.afterRead(func(err error) {
