--- /dev/null
+++ b/internal/controller/alloc_test.go
@@ -0,0 +1,181 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// reportOf is what a machine of ours reports when all that is bound to it runs.
+func (b *brain) reportOf(m *machine) *wire.Report {
+	p := b.parts[m.home]
+	r := &wire.Report{Machine: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Session: m.session, Seq: m.seq, Token: p.term}
+	for t, rec := range m.bound {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: taskName(rec.job.id, t.Num), Attempt: rec.find(t.Num).attempt, State: wire.Running})
+	}
+	return r
+}
+
+// ours is the first of our machines in a crowded fleet on which something runs.
+func (b *brain) ours() *machine {
+	for _, m := range b.parts[0].machines {
+		if len(m.bound) > 0 {
+			return m
+		}
+	}
+	return nil
+}
+
+// What comes hundreds of times a second allocates little, and no more with ten times
+// as many machines: the collector's work follows from it, and with a fraction of a
+// core there is hardly any time for that.
+func TestHotPathsAllocateLittle(t *testing.T) {
+	type path struct {
+		name  string
+		bound float64
+		f     func(b *brain) func()
+	}
+	paths := []path{
+		{"a report without news", 4, func(b *brain) func() {
+			m := b.ours()
+			r := b.reportOf(m)
+			return func() { r.Seq++; b.report(r) }
+		}},
+		{"a report decoded", 24, func(b *brain) func() {
+			raw := mustJSON(b.reportOf(b.ours()))
+			return func() {
+				if _, err := wire.ParseReport(raw); err != nil {
+					t.Error(err)
+				}
+			}
+		}},
+		{"a step of a part with nothing to do", 2, func(b *brain) func() {
+			for _, j := range b.atHand { // nothing waits
+				if j.spec.Class == "clean" {
+					j.retryAt = b.now.Add(time.Hour)
+				}
+			}
+			return func() { b.stepParts() }
+		}},
+		{"a record stored by another controller", 8, func(b *brain) func() {
+			var r *rec
+			for x := range b.records() {
+				if x.part != 0 && x.placed > 0 && len(x.entries) == 1 {
+					r = x
+				}
+			}
+			raw, stamp := r.value(r.done, r.entries), r.stamp
+			return func() { stamp++; b.put(r.key, raw, stamp) }
+		}},
+		{"a poll of a job that is over", 2, func(b *brain) func() {
+			b.over["wk-1"] = done
+			return func() {
+				if j := b.known("wk-1"); j.state().State != wire.Done {
+					t.Error("not done")
+				}
+			}
+		}},
+	}
+	for _, x := range paths {
+		for _, machines := range []int{50, 500} {
+			b := crowded(t, machines)
+			got := testing.AllocsPerRun(50, x.f(b))
+			t.Logf("%s, %d machines: %v allocations", x.name, machines, got)
+			if got > x.bound {
+				t.Errorf("%s, %d machines: %v allocations, %v are the bound", x.name, machines, got, x.bound)
+			}
+		}
+	}
+}
+
+// A status frame costs its sender one buffer that grows, and its reader four strings
+// for each machine.
+func TestStatusFrameAllocatesLittle(t *testing.T) {
+	for _, machines := range []int{50, 500} {
+		b := crowded(t, machines)
+		n := float64(len(b.parts[0].machines))
+		var frame []byte
+		if got := testing.AllocsPerRun(20, func() { frame = mesh.AppendStatus(nil, b.status()) }); got > 30 {
+			t.Errorf("%d machines: %v allocations to send a status", machines, got)
+		}
+		s := &mesh.Status{}
+		if got := testing.AllocsPerRun(20, func() { *s = *b.status() }); got > 20 {
+			t.Errorf("%d machines: %v allocations to make a status", machines, got)
+		}
+		if len(frame) > int(n)*64+64 {
+			t.Errorf("%d machines: %d bytes", machines, len(frame))
+		}
+	}
+}
+
+// A transaction carries what waits for it: an array's bindings cost far less than a
+// change for each task.
+func TestChangesForEachTask(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		const tasks = 240
+		c.submit(jobBody("wk-1", wire.Array, "blue", "normal", tasks, 1, 6))
+		c.awaitDone("wk-1", 10*time.Minute)
+		var all store.Stats
+		for _, n := range c.nodes {
+			s := n.brain.st.Stats()
+			all.Changes, all.Txns = all.Changes+s.Changes, all.Txns+s.Txns
+		}
+		if all.Changes > tasks/4 || all.Txns > tasks/4 {
+			t.Errorf("%d changes in %d transactions for %d tasks", all.Changes, all.Txns, tasks)
+		}
+		t.Logf("%d changes in %d transactions for %d tasks", all.Changes, all.Txns, tasks)
+	})
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := crowded(b, n)
+			r := c.reportOf(c.ours())
+			raw := mustJSON(r)
+			for b.Loop() {
+				x, err := wire.ParseReport(raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Seq++
+				x.Seq = r.Seq
+				c.report(x)
+			}
+		})
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := crowded(b, n)
+			var r *rec
+			for x := range c.records() {
+				if r == nil || len(x.entries) > len(r.entries) {
+					r = x
+				}
+			}
+			raw, stamp := r.value(r.done, r.entries), r.stamp+1<<32
+			for b.Loop() {
+				stamp++
+				c.put(r.key, raw, stamp)
+			}
+		})
+	}
+}
+
+func BenchmarkStatus(b *testing.B) {
+	for _, n := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := crowded(b, n)
+			for b.Loop() {
+				mesh.AppendStatus(nil, c.status())
+			}
+		})
+	}
+}
