--- a/internal/controller/alloc_test.go
+++ b/internal/controller/alloc_test.go
@@ -14,7 +14,8 @@
 func (b *brain) reportOf(m *machine) *wire.Report {
 	p := b.parts[m.home]
 	r := &wire.Report{Machine: m.name, Addr: m.addr, Type: m.typ, Zone: m.zone, Session: m.session, Seq: m.seq, Token: p.term}
-	for t, rec := range m.bound {
+	for _, x := range m.bound {
+		t, rec := x.task, x.rec
 		r.Tasks = append(r.Tasks, wire.TaskReport{Task: taskName(rec.job.id, t.Num), Attempt: rec.find(t.Num).attempt, State: wire.Running})
 	}
 	return r
--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -355,7 +355,7 @@
 			b.releaseClaims(r, nil)
 			b.unlinkGroup(r)
 			b.file(r, -1)
-			delete(r.job.recs, r.k)
+			r.job.recs = slices.DeleteFunc(r.job.recs, func(x *rec) bool { return x == r })
 			delete(b.recByKey, key)
 			b.recs[r.idx] = nil
 		}
@@ -504,10 +504,10 @@
 		b.recs = append(b.recs, r)
 		b.recByKey[key] = r
 		b.takeUp(j)
-		if j.recs == nil {
-			j.recs, j.loc = map[int]*rec{}, map[int32]*rec{}
+		if j.loc == nil {
+			j.loc = map[int32]*rec{}
 		}
-		j.recs[k] = r
+		j.recs = append(j.recs, r)
 	}
 	if r.part != v.Part {
 		if r.part >= 0 {
@@ -532,7 +532,7 @@
 		e := entry{num: x.Num, attempt: x.Attempt, session: x.Session}
 		if x.Machine != "" {
 			e.m = b.machine(x.Machine)
-			e.m.bound[r.task(x.Num)] = r
+			e.m.bound.add(r.task(x.Num), r)
 			e.m.introduce(x.Addr, x.Session)
 			b.enlist(e.m) // one that is gone may have been forgotten
 			placed++
@@ -585,7 +585,7 @@
 	for i := range r.entries {
 		e := &r.entries[i]
 		if e.m != nil {
-			delete(e.m.bound, r.task(e.num))
+			e.m.bound.remove(r.task(e.num))
 		}
 		if r.job.loc[e.num] == r {
 			delete(r.job.loc, e.num)
--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -37,7 +37,8 @@
 		}
 		h := &core.Host{ID: m.idx, Type: m.typ, Zone: m.zone, Spot: m.spot, Part: m.home, Size: size, Free: size}
 		h.Touched = b.lends[m.name] != nil // wanted, even before it is in use
-		for _, r := range m.bound {
+		for _, x := range m.bound {
+			r := x.rec
 			if r.job.spec == nil {
 				continue
 			}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -18,11 +18,11 @@
 	name, addr, typ, zone string
 	spot                  bool
 	idx                   int32
-	hash                  int                // its part, unless it is lent
-	home                  int                // the part that it is in now
-	listed                bool               // among that part's machines
-	homeAt                time.Time          // when it last came to another part
-	bound                 map[core.Task]*rec // by stored bindings
+	hash                  int        // its part, unless it is lent
+	home                  int        // the part that it is in now
+	listed                bool       // among that part's machines
+	homeAt                time.Time  // when it last came to another part
+	bound                 boundTasks // by stored bindings
 	gone                  bool
 
 	// Known to the owner, from reports.
@@ -65,10 +65,28 @@
 	openAt, pinnedAt uint64
 }
 
+// boundTasks are the tasks that are bound to a machine: few, and gone through in every
+// step and with every report.
+type boundTasks []boundTask
+
+type boundTask struct {
+	task core.Task
+	rec  *rec
+}
+
+func (s *boundTasks) add(t core.Task, r *rec) {
+	s.remove(t)
+	*s = append(*s, boundTask{t, r})
+}
+
+func (s *boundTasks) remove(t core.Task) {
+	*s = slices.DeleteFunc(*s, func(x boundTask) bool { return x.task == t })
+}
+
 func (b *brain) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
-		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), bound: map[core.Task]*rec{}, images: map[string]bool{}, fetching: map[string]time.Time{}, failed: map[string]bool{}}
+		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), images: map[string]bool{}, fetching: map[string]time.Time{}, failed: map[string]bool{}}
 		m.gone = b.gone[name]
 		m.home = b.homeOf(m)
 		b.machines[name] = m
@@ -321,7 +339,8 @@
 	if len(shown) == len(m.bound) {
 		return
 	}
-	for t, r := range m.bound {
+	for _, x := range m.bound {
+		t, r := x.task, x.rec
 		e := r.find(t.Num)
 		if e == nil || e.m != m {
 			continue
@@ -421,7 +440,8 @@
 		return
 	}
 	before := len(b.outcomes)
-	for t, r := range m.bound {
+	for _, x := range m.bound {
+		t, r := x.task, x.rec
 		if e := r.find(t.Num); e != nil && e.m == m {
 			b.end(r, e, outcome{attempt: e.attempt})
 		}
@@ -511,7 +531,8 @@
 	if len(shown) == len(m.bound) {
 		return stops
 	}
-	for t, r := range m.bound {
+	for _, x := range m.bound {
+		t, r := x.task, x.rec
 		e := r.find(t.Num)
 		if e == nil || shown.has(t) || e.session != m.session || b.wantStop(r, t, m, p) {
 			continue
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -310,7 +310,8 @@
 func (b *brain) pinnedBy(m *machine) bool {
 	if m.pinnedAt != b.steps {
 		m.pinnedAt, m.pinned = b.steps, false
-		for _, r := range m.bound {
+		for _, x := range m.bound {
+			r := x.rec
 			if r.job.spec != nil && r.job.spec.Whole() {
 				m.pinned = true
 				break
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -108,7 +108,7 @@
 	spec  *wire.Job
 	need  core.Res
 	team  int32
-	recs  map[int]*rec
+	recs  []*rec
 	loc   map[int32]*rec // of each task that is dealt and not done
 
 	atHand   bool   // among brain.atHand
@@ -123,8 +123,8 @@
 
 // newRec is the number of a record that the job has never had.
 func (j *job) newRec() int {
-	for k := range j.recs {
-		j.nextRec = max(j.nextRec, k+1)
+	for _, r := range j.recs {
+		j.nextRec = max(j.nextRec, r.k+1)
 	}
 	j.nextRec++
 	return j.nextRec - 1
