--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -107,6 +107,9 @@
 	if b.silent(m, p) {
 		f |= mesh.Silent
 	}
+	if !m.heard.After(p.took(m)) {
+		f |= mesh.Unheard
+	}
 	return f
 }
 
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -268,6 +268,9 @@
 func (b *brain) cutZones() {
 	out, all := map[string]int{}, map[string]int{}
 	b.eachVouched(func(m *machine, flags uint8) {
+		if flags&mesh.Unheard != 0 && flags&mesh.Silent == 0 {
+			return // its owner has only just come; after a crash of all that is so everywhere
+		}
 		z := b.zoneOf(m)
 		all[z]++
 		if flags&mesh.Up == 0 {
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -462,3 +462,44 @@
 		})
 	}
 }
+
+// Machines die, and all controllers with them: nobody is left who knows where the
+// machines were. The records tell, so dead ones are asked and returned as soon as by an
+// owner who goes on, not after the longest pause that a report may have; and that
+// nothing has reported yet is not taken for a zone that is cut off.
+func TestMachinesThatDiedWithAllControllers(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.zoned(1, 8, "b")
+		c.zoned(9, 8, "a")
+		c.await("the services run", time.Minute, func() bool { return c.allRun(16, 1) })
+		time.Sleep(10 * time.Second)
+		var dead *standin.Worker
+		for _, w := range c.world.Cloud.Workers() {
+			if dead == nil && c.boundTo(w.Name()) > 0 {
+				dead = w
+			}
+		}
+		dead.Die()
+		for i := range c.nodes {
+			c.kill(i)
+		}
+		time.Sleep(2 * time.Second)
+		for i := range c.nodes {
+			c.start(i)
+		}
+		limit := c.nodes[0].brain.quietAfter() + deafAfter*fleet.PingTimeout + 2*time.Second
+		for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+			for _, n := range c.nodes {
+				n.brain.ask(c.ctx, laneState, func() {
+					if n.brain.leads() && len(n.brain.lead.cut) > 0 {
+						t.Errorf("zones %v are taken to be cut off", n.brain.lead.cut)
+					}
+				})
+			}
+		}
+		if slices.Contains(c.world.Cloud.Workers(), dead) {
+			t.Errorf("a dead machine is not returned within %v", limit)
+		}
+		c.await("the services run", 20*time.Second, func() bool { return c.allRun(16, 1) })
+	})
+}
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -36,6 +36,8 @@
 	Silent
 	// Spot machine.
 	Spot
+	// Unheard: it has not reported since its owner took it over.
+	Unheard
 )
 
 // Machine is what an owner knows of one of its machines.
