--- a/internal/controller/inbox.go
+++ b/internal/controller/inbox.go
@@ -94,6 +94,28 @@
 	return nil
 }
 
+// take waits for a tick, which comes before everything, or for what comes first; it
+// returns neither once done is closed.
+func (in *inbox) take(done <-chan struct{}, tick <-chan time.Time) (f func(), ticked bool) {
+	select {
+	case <-tick:
+		return nil, true
+	default:
+	}
+	if f = in.next(); f != nil {
+		return f, false
+	}
+	select {
+	case <-done:
+	case <-tick:
+		return nil, true
+	case f = <-in.lanes[laneState]:
+	case f = <-in.lanes[laneWorkers]:
+	case f = <-in.lanes[laneUsers]:
+	}
+	return f, false
+}
+
 // pressed tells whether anything waits in a lane before l.
 func (in *inbox) pressed(l lane) bool {
 	for _, c := range in.lanes[:l] {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -143,33 +143,18 @@
 	defer t.Stop()
 	var due deadlines
 	due.metrics = time.Now().Add(metricsEvery)
-	in := b.inbox
-	for {
-		select {
-		case <-b.ctx.Done():
-			return
-		case <-t.C:
+	for b.ctx.Err() == nil {
+		f, ticked := b.inbox.take(b.ctx.Done(), t.C)
+		if ticked {
 			b.onTick(&due)
-			continue
-		default:
 		}
-		f := in.next()
 		if f == nil {
-			select {
-			case <-b.ctx.Done():
-				return
-			case <-t.C:
-				b.onTick(&due)
-				continue
-			case f = <-in.lanes[laneState]:
-			case f = <-in.lanes[laneWorkers]:
-			case f = <-in.lanes[laneUsers]:
-			}
+			continue
 		}
 		b.now = time.Now()
 		f()
 		b.metrics.observe(lEvent, time.Since(b.now))
-		if b.stepDue && b.now.After(due.step) && !in.pressed(laneUsers) {
+		if b.stepDue && b.now.After(due.step) && !b.inbox.pressed(laneUsers) {
 			b.takeStep(&due, time.Now())
 		}
 	}
