Quota: a job cancelled here counts until all bindings before that are known

A controller knows its own cancellation before the bindings that owners stored just before it; the leader counted the job's record for nothing meanwhile. The window grew with the follower standing back.

--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -442,7 +442,7 @@
 
 // retire drops what a final job needs no more; its fate is kept for ever.
 func (b *brain) retire(j *job) {
-	if j.fate != live && len(j.recs) == 0 {
+	if j.fate != live && len(j.recs) == 0 && j.stamp <= b.cursor {
 		j.spec, j.recs, j.loc = nil, nil, nil
 	}
 }
--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -113,7 +113,7 @@
 	changes, stamp := 0, uint64(8)
 	for free := 1; free <= 60; free++ { // a task of the team ends every 100 ms
 		lim := core.Limit{Max: core.Amount(float64(min(free, 9)), 0, 0)}
-		lim.Used = r.job.need.Times(r.counts())
+		lim.Used = r.job.need.Times(r.counts(b.cursor))
 		before := r.cappedAt
 		b.uncap(r.job, &lim)
 		if r.cappedAt != before { // stored at once
@@ -311,3 +311,42 @@
 		t.Errorf("%s went back to %s", spec.ID, j.state().State)
 	}
 }
+
+// A cancellation of our own is known before a binding that was stored just before it.
+// Until all changes up to it are known its tasks count for the team's limit as if the
+// job were not over: the leader once gave their room away while one of them ran.
+func TestCancelledBeforeItsBindingIsKnown(t *testing.T) {
+	b := lone(t)
+	b.cfg.Settings.Teams = []config.Team{{Name: "t", CPUsMax: 100}}
+	team := b.team("t")
+	spec := &wire.Job{ID: "wk-1", Team: "t", Service: true, Tasks: 1, CPUs: 2, Image: "img"}
+	used := func(when string, want int64) {
+		t.Helper()
+		if got := b.limits()[team].Used.CPU; got != want*1000 {
+			t.Errorf("%s %d milli-CPUs count, not %d", when, got, want*1000)
+		}
+	}
+	group := func(machine string) json.RawMessage {
+		return raw(t, groupValue{Tasks: []entryValue{{Attempt: 1, Machine: machine, Session: 1}}})
+	}
+	b.put(jobKey("wk-1"), raw(t, jobValue{Job: spec}), 10)
+	b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: []entryValue{{}}}), 11)
+	b.cursor = 11
+	used("dealt:", 2)
+	gone := raw(t, jobValue{Fate: cancelled, Job: spec})
+	b.put(jobKey("wk-1"), gone, 20) // our own write's result
+	used("cancelled here:", 2)
+	b.events(&wire.Events{Revision: 21, Events: []wire.Event{
+		{Put: groupKey("wk-1", 0), Value: group("host-1"), Version: 15}, {Put: jobKey("wk-1"), Value: gone, Version: 20}}})
+	used("its binding is known:", 2)
+	b.events(&wire.Events{Revision: 22, Events: []wire.Event{{Put: groupKey("wk-1", 0), Value: group(""), Version: 22}}})
+	used("proven gone:", 0)
+
+	// The same where not even the dealing is known yet.
+	b.put(jobKey("wk-2"), raw(t, jobValue{Job: spec}), 30)
+	b.cursor = 30
+	b.put(jobKey("wk-2"), gone, 40)
+	b.events(&wire.Events{Revision: 41, Events: []wire.Event{
+		{Put: groupKey("wk-2", 0), Value: group("host-2"), Version: 35}, {Put: jobKey("wk-2"), Value: gone, Version: 40}}})
+	used("dealt and bound before it was cancelled here:", 2)
+}
--- a/internal/controller/caps.go
+++ b/internal/controller/caps.go
@@ -53,9 +53,9 @@
 		if r.cap == 0 || r.writing || r.may() == len(r.entries) || b.now.Sub(r.cappedAt) < b.capEvery() {
 			continue
 		}
-		if k := lim.Room(j.need, len(r.entries)-r.counts()); k > 0 {
+		if k := lim.Room(j.need, len(r.entries)-r.counts(b.cursor)); k > 0 {
 			lim.Used = lim.Used.Plus(j.need.Times(k))
-			b.setCap(r, r.counts()+k)
+			b.setCap(r, r.counts(b.cursor)+k)
 		}
 	}
 }
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -23,7 +23,7 @@
 		}
 		// A dealt task counts for its team's limit whether it runs or not; one
 		// of a cancelled job until it is proven gone.
-		n := r.counts()
+		n := r.counts(b.cursor)
 		l := &out[r.job.team]
 		use := r.job.need.Times(n)
 		l.Used = l.Used.Plus(use)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -236,9 +236,12 @@
 }
 
 // counts is how many tasks count for the team's limit: those that may be bound
-// and those that still are; of a job that is over only the latter.
-func (r *rec) counts() int {
-	if r.job.fate != live {
+// and those that still are; of a job that is over only the latter, once all changes
+// up to its end are known (to cursor). A cancellation of our own is known before a
+// binding that was stored just before it: counted for nothing until then, the task
+// ran beside what its room was given to.
+func (r *rec) counts(cursor uint64) int {
+	if r.job.fate != live && r.job.stamp <= cursor {
 		return r.bound()
 	}
 	return max(r.bound(), r.may())
