--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -91,7 +91,8 @@
 	// yieldUntil: this controller gave its rights up and takes none before then.
 	yieldUntil time.Time
 	// wokeAt: this process stood still until then.
-	wokeAt time.Time
+	wokeAt   time.Time
+	reportAt time.Time // of any worker's last report
 	// lastTick is when the actor last came to its duties, laggedAt when it last
 	// came late to them: see lagging.
 	lastTick, laggedAt time.Time
--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -134,6 +134,12 @@
 			if m.gone || !b.expected(m, 2*time.Minute) {
 				continue
 			}
+			// Where workers reach us, of other parts too, one that has not reported
+			// since we came says nothing about us: a part of few machines may well
+			// have lost most of them.
+			if m.heard.IsZero() && b.reportAt.After(p.took(m)) {
+				continue
+			}
 			all++
 			if b.quiet(m, p) {
 				quiet++
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -215,6 +215,7 @@
 // report takes a worker's report in and answers it.
 func (b *brain) report(r *wire.Report) api.Answer {
 	b.metrics.count(cReports, 1)
+	b.reportAt = b.now
 	defer b.metrics.spend(dReport, time.Now())
 	if !b.loaded {
 		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "starting"}
--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -503,3 +503,24 @@
 		c.await("the services run", 20*time.Second, func() bool { return c.allRun(16, 1) })
 	})
 }
+
+// After a crash of all the only machine of a part may be the one that died. Reports of
+// other parts' machines show that it is not we who can't be reached.
+func TestOnlyMachineOfAPartDied(t *testing.T) {
+	b := lone(t)
+	p := b.parts[0]
+	p.since, p.old, p.gained = b.now, b.hold, p.term
+	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Service: true, Tasks: 1, CPUs: 1}}), 5)
+	b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: []entryValue{{Attempt: 1, Machine: "host-1", Session: 1, Addr: "10.1.0.1:1"}}}), 6)
+	m := b.machine("host-1")
+	m.unanswered = deafAfter
+	for _, reached := range []bool{false, true} {
+		b.now = b.now.Add(6 * time.Second)
+		if reached {
+			b.reportAt = b.now
+		}
+		if b.silent(m, p) != reached {
+			t.Errorf("workers reach us: %v, found silent: %v", reached, !reached)
+		}
+	}
+}
