Rule checker over a trace of what users, workers and cloud saw, with a breach of each rule

The referee in the stand-in world looked at each event as it came and knew five rules. Stand-ins: machines that hang, are mute or have slow clocks, tasks that save, answers that are lost, slow calls.

--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -31,6 +31,7 @@
 	world *standin.World
 	nodes []*node
 	user  *standin.Net
+	mu    sync.Mutex // of next, since several users may ask at a time
 	next  int
 }
 
@@ -177,20 +178,45 @@
 	wg.Wait()
 }
 
-// call tries the nodes in turn until one gives a final answer.
-func (c *cluster) call(method, path string, body any, within time.Duration) (int, map[string]any) {
+// ask makes one call to a node and notes the answer for the rule checker.
+func (c *cluster) ask(node int, call standin.Call, id string, body map[string]any, spec *wire.Job) (int, map[string]any) {
+	method, path := http.MethodPost, "/v1/jobs"
+	switch call {
+	case standin.Poll:
+		method, path = http.MethodGet, "/v1/jobs/"+id
+	case standin.Cancel:
+		path = "/v1/jobs/" + id + "/abort"
+	}
 	raw, _ := json.Marshal(body)
+	limit := 5 * time.Second
+	if call == standin.Poll {
+		limit = 2 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, limit)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+c.nodes[node].cfg.APIAddr+path, bytes.NewReader(raw))
+	e := standin.Event{Kind: standin.Answered, Job: id, Spec: spec, Call: call, Asked: time.Now()}
+	var out map[string]any
+	if resp, err := c.user.RoundTrip(req); err == nil {
+		e.Status = resp.StatusCode
+		_ = json.NewDecoder(resp.Body).Decode(&out)
+		e.State, _ = out["tide"].(string)
+	}
+	c.world.Saw(e)
+	return e.Status, out
+}
+
+// call tries the nodes in turn until one gives a final answer.
+func (c *cluster) call(call standin.Call, id string, body map[string]any, spec *wire.Job, within time.Duration) (int, map[string]any) {
 	until := time.Now().Add(within)
 	for time.Now().Before(until) {
+		c.mu.Lock()
 		c.next++
-		ctx, cancel := context.WithTimeout(c.ctx, 5*time.Second)
-		req, _ := http.NewRequestWithContext(ctx, method, "http://"+c.nodes[c.next%3].cfg.APIAddr+path, bytes.NewReader(raw))
-		resp, err := c.user.RoundTrip(req)
-		cancel()
-		if err == nil && resp.StatusCode < 500 {
-			var out map[string]any
-			_ = json.NewDecoder(resp.Body).Decode(&out)
-			return resp.StatusCode, out
+		node := c.next % len(c.nodes)
+		c.mu.Unlock()
+		status, out := c.ask(node, call, id, body, spec)
+		if status != 0 && status < 500 && status != http.StatusTooManyRequests {
+			return status, out
 		}
 		time.Sleep(time.Second)
 	}
@@ -217,8 +243,8 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.world.Submitted(j)
-	status, _ := c.call(http.MethodPost, "/v1/jobs", body, 20*time.Second)
+	c.world.Upload(j)
+	status, _ := c.call(standin.Submit, j.ID, body, j, 20*time.Second)
 	if status != 0 && status != http.StatusCreated && status != http.StatusOK {
 		c.t.Fatalf("submission of %s: status %d", j.ID, status)
 	}
@@ -226,14 +252,11 @@
 }
 
 func (c *cluster) state(id string) string {
-	status, out := c.call(http.MethodGet, "/v1/jobs/"+id, nil, 40*time.Second)
+	status, out := c.call(standin.Poll, id, nil, nil, 40*time.Second)
 	if status != http.StatusOK {
 		c.t.Fatalf("poll of %s: status %d", id, status)
 	}
 	s, _ := out["tide"].(string)
-	if s == wire.Done {
-		c.world.ToldDone(id)
-	}
 	return s
 }
 
@@ -246,13 +269,10 @@
 
 func (c *cluster) tryAbort(id string) bool {
 	c.t.Helper()
-	status, out := c.call(http.MethodPost, "/v1/jobs/"+id+"/abort", nil, 20*time.Second)
+	status, _ := c.call(standin.Cancel, id, nil, nil, 20*time.Second)
 	if status != 0 && status != http.StatusOK {
 		c.t.Fatalf("abort of %s: status %d", id, status)
 	}
-	if out["tide"] == wire.Cancelled {
-		c.world.Cancelled(id)
-	}
 	return status != 0
 }
 
@@ -315,16 +335,19 @@
 			}
 			x.change(body)
 			raw, _ := json.Marshal(body)
-			if j, err := wire.ParseJob(raw); err == nil && x.status == 201 {
-				c.world.Submitted(j)
+			j, err := wire.ParseJob(raw)
+			if err == nil && x.status == 201 {
+				c.world.Upload(j)
 			}
-			if status, _ := c.call(http.MethodPost, "/v1/jobs", body, 10*time.Second); status != x.status {
+			id, _ := body["nameId"].(string)
+			if status, _ := c.call(standin.Submit, id, body, j, 10*time.Second); status != x.status {
 				t.Errorf("%v: status %d, not %d", body, status, x.status)
 			}
 		}
-		if status, _ := c.call(http.MethodGet, "/v1/jobs/wk-99", nil, 10*time.Second); status != 404 {
+		if status, _ := c.call(standin.Poll, "wk-99", nil, nil, 10*time.Second); status != 404 {
 			t.Errorf("unknown job: %d", status)
 		}
+		c.awaitDone("wk-7", time.Minute)
 	})
 }
 
@@ -707,7 +730,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		for _, id := range []string{"wk-8", "wk-9"} {
-			if status, _ := c.call(http.MethodGet, "/v1/jobs/"+id, nil, 3*time.Second); status != 0 {
+			if status, _ := c.call(standin.Poll, id, nil, nil, 3*time.Second); status != 0 {
 				t.Errorf("%s: status %d", id, status)
 			}
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"eiderhitch/internal/core"
 	"eiderhitch/internal/wire"
 )
 
@@ -42,7 +43,14 @@
 	// sick: every task fails.
 	sick bool
 	// deaf: it reports, but neither answers nor commands reach it.
-	deaf  bool
+	deaf bool
+	// mute: it reaches no controller, while direct commands reach it.
+	mute bool
+	// hung: it does nothing, and goes on later if its lease still runs. Commands
+	// that come meanwhile are executed then.
+	hung chan struct{}
+	// drift is how much longer than nominal its lease is, by its clock and others'.
+	drift float64
 	last  []byte // its newest report
 	nudge chan struct{}
 }
@@ -64,13 +72,81 @@
 func (k *Worker) Die() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.dead {
+		return
+	}
 	k.dead = true
+	k.drop(time.Now())
+	k.w.Saw(Event{Kind: MachineGone, Machine: k.m.Name})
+}
+
+// drop ends all tasks; called with the lock held.
+func (k *Worker) drop(at time.Time) {
 	for _, t := range k.tasks {
-		k.w.off(k, t)
+		if t.state != wire.Exited {
+			k.w.off(k, t, at)
+		}
 	}
 	k.tasks = map[string]*workerTask{}
 }
 
+// SetMute has the machine reach no controller while direct commands reach it.
+func (k *Worker) SetMute(mute bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.mute = mute
+}
+
+// SetDrift makes the machine's lease longer by a fraction, as a slow clock does.
+func (k *Worker) SetDrift(drift float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.drift = drift
+}
+
+// SetHung has the machine stand still, or go on.
+func (k *Worker) SetHung(hung bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case hung && k.hung == nil:
+		k.hung = make(chan struct{})
+	case !hung && k.hung != nil:
+		close(k.hung)
+		k.hung = nil
+		k.advance()
+	}
+}
+
+// wait for a machine that hangs to go on; called with the lock held.
+func (k *Worker) wait() bool {
+	for k.hung != nil {
+		hung := k.hung
+		k.mu.Unlock()
+		select {
+		case <-hung:
+		case <-k.w.ctx.Done():
+		}
+		k.mu.Lock()
+		if k.w.ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Resend posts the newest report to a controller once more.
+func (k *Worker) Resend(addr string) {
+	raw := k.LastReport()
+	if raw == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.w.ctx, 4*time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/report", bytes.NewReader(raw))
+	_, _ = k.w.net.RoundTrip(req)
+}
+
 // SetCut cuts the machine off, or joins it again.
 func (k *Worker) SetCut(cut bool) {
 	k.mu.Lock()
@@ -97,10 +173,7 @@
 func (k *Worker) Restart() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, t := range k.tasks {
-		k.w.off(k, t)
-	}
-	k.tasks = map[string]*workerTask{}
+	k.drop(time.Now())
 	k.session++
 	k.seq, k.renewed = 0, time.Now()
 	k.changed()
@@ -126,12 +199,15 @@
 		return
 	}
 	k.mu.Lock()
-	k.up, k.renewed = true, time.Now()
+	if !k.dead {
+		k.up, k.renewed = true, time.Now()
+		k.w.Saw(Event{Kind: MachineUp, Machine: k.m.Name, Type: k.m.Type, Zone: k.m.Zone, Spot: k.m.Spot, Size: core.Amount(k.typ.CPUs, k.typ.GPUs, k.typ.RAM)})
+	}
 	k.mu.Unlock()
 	last := time.Time{}
 	for {
 		k.mu.Lock()
-		if k.dead {
+		if !k.wait() || k.dead {
 			k.mu.Unlock()
 			return
 		}
@@ -165,17 +241,14 @@
 // advance moves tasks and the lease on to now; called with the lock held.
 func (k *Worker) advance() {
 	now := time.Now()
-	if now.Sub(k.renewed) > time.Duration(k.w.LeaseS*float64(time.Second)) {
-		for _, t := range k.tasks {
-			k.w.off(k, t)
-		}
-		k.tasks = map[string]*workerTask{}
+	if lease := time.Duration(k.w.LeaseS * (1 + k.drift) * float64(time.Second)); now.Sub(k.renewed) > lease {
+		k.drop(k.renewed.Add(lease))
 		k.session++
 		k.seq, k.renewed = 0, now
 		k.changed()
 	}
 	for _, t := range k.tasks {
-		if t.state == wire.Fetching && now.Sub(t.from) >= time.Second {
+		if t.state == wire.Fetching && now.Sub(t.from) >= time.Duration(t.spec.ImageGB*float64(time.Second)) {
 			t.state, t.from = wire.Running, now
 			k.w.on(k, t)
 			k.changed()
@@ -187,11 +260,14 @@
 			}
 			k.exit(t, why)
 		}
+		if t.state == wire.Saving && now.Sub(t.from) >= time.Duration(t.spec.SaveS*float64(time.Second)) {
+			k.exit(t, wire.WhyStopped)
+		}
 	}
 }
 
 func (k *Worker) exit(t *workerTask, why string) {
-	k.w.off(k, t)
+	k.w.off(k, t, time.Now())
 	t.state, t.why, t.from = wire.Exited, why, time.Now()
 	if why == wire.WhyDone {
 		k.w.finished(t)
@@ -213,7 +289,12 @@
 
 func (k *Worker) report() {
 	k.mu.Lock()
-	if k.cut || k.dead {
+	if k.cut || k.dead || k.hung != nil {
+		k.mu.Unlock()
+		return
+	}
+	if k.mute { // it tries them in turn
+		k.node++
 		k.mu.Unlock()
 		return
 	}
@@ -231,7 +312,7 @@
 	resp, err := k.w.net.RoundTrip(req)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.dead || k.cut {
+	if !k.wait() || k.dead || k.cut || ctx.Err() != nil {
 		return
 	}
 	next := func() {
@@ -295,9 +376,21 @@
 				continue
 			}
 			k.tasks[c.Task] = t
+			k.w.held(k, t)
 			k.changed()
 		case wire.OpStop:
-			if t != nil && t.attempt == c.Attempt && t.state != wire.Exited {
+			if t == nil || t.attempt != c.Attempt || t.state == wire.Exited {
+				continue
+			}
+			grace := 0.0
+			if c.GraceS != nil {
+				grace = *c.GraceS
+			}
+			switch {
+			case t.state == wire.Running && t.spec.CheckS > 0 && grace >= t.spec.SaveS:
+				t.state, t.from = wire.Saving, time.Now()
+				k.changed()
+			case t.state != wire.Saving || grace == 0:
 				k.exit(t, wire.WhyStopped)
 			}
 		case wire.OpForget:
@@ -320,6 +413,9 @@
 		k.mu.Lock()
 		return
 	}
+	if !k.wait() || k.dead {
+		return
+	}
 	var d wire.Direct
 	_ = json.Unmarshal(body, &d)
 	k.advance()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -6,12 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"eiderhitch/internal/core"
 	"eiderhitch/internal/wire"
 )
 
@@ -27,23 +30,24 @@
 	State *State
 	Cloud *Cloud
 
-	mu        sync.Mutex
-	handlers  map[string]http.Handler
-	jobs      map[string]*wire.Job
-	cancelled map[string]time.Time
-	running   map[string]*Worker // by task
-	done      map[string]map[string]bool
-	breaches  []string
-	limits    map[string]float64
-	starts    int
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	specs    map[string]*wire.Job
+	running  map[string]*Worker // by task
+	done     map[string]map[string]bool
+	breaches []string // that a worker sees for itself
+	limits   map[string]core.Res
+	trace    []Event
+	quiet    time.Time
+	starts   int
 }
 
 // NewWorld returns a world whose controllers have the given names and addresses.
 func NewWorld(ctx context.Context, names, addrs []string, types []wire.MachineType) *World {
 	w := &World{ReportS: 1, LeaseS: 10, CancelS: 35, ctx: ctx, names: names, nodes: addrs, State: NewState(),
-		handlers: map[string]http.Handler{}, jobs: map[string]*wire.Job{}, cancelled: map[string]time.Time{}, running: map[string]*Worker{},
-		done: map[string]map[string]bool{}, limits: map[string]float64{}}
-	w.net = &Net{w: w}
+		handlers: map[string]http.Handler{}, specs: map[string]*wire.Job{}, running: map[string]*Worker{},
+		done: map[string]map[string]bool{}, limits: map[string]core.Res{}}
+	w.net = w.Net()
 	w.Cloud = &Cloud{world: w, types: types, answered: map[string][]string{}, Capacity: 20}
 	w.serve("state:1", w.State)
 	w.serve("cloud:1", w.Cloud)
@@ -60,42 +64,42 @@
 func (w *World) Serve(addr string, h http.Handler) { w.serve(addr, h) }
 
 // SetLimit tells the referee a team's limit of CPUs.
-func (w *World) SetLimit(team string, cpus float64) { w.limits[team] = cpus }
+func (w *World) SetLimit(team string, cpus float64) { w.limits[team] = core.Amount(cpus, 0, 0) }
 
-// Submitted tells the referee (and the workers) of a job.
-func (w *World) Submitted(j *wire.Job) {
+// Upload gives the workers a job's description, as users do before they submit it.
+func (w *World) Upload(j *wire.Job) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.jobs[j.ID] = j
+	w.specs[j.ID] = j
 }
 
-// Cancelled tells the referee that a user was told so.
-func (w *World) Cancelled(id string) {
+// Saw notes an event for the rule checker.
+func (w *World) Saw(e Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if _, ok := w.cancelled[id]; !ok {
-		w.cancelled[id] = time.Now()
+	w.saw(e)
+}
+
+func (w *World) saw(e Event) {
+	if e.At.IsZero() {
+		e.At = time.Now()
 	}
+	w.trace = append(w.trace, e)
 }
 
-// ToldDone tells the referee that a user was told so.
-func (w *World) ToldDone(id string) {
+// SetQuiet says that all troubles are over from now on.
+func (w *World) SetQuiet() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if n := len(w.done[id]); n != w.jobs[id].Tasks {
-		w.breachLocked("not_done: %s has %d of %d tasks done", id, n, w.jobs[id].Tasks)
-	}
+	w.quiet = time.Now()
 }
 
-// Breaches are the rules broken so far; it also looks for cancelled tasks that
-// are still there.
+// Breaches are the rules broken so far, by what was seen from outside.
 func (w *World) Breaches() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for t := range w.running {
-		w.checkCancelled(t)
-	}
-	return append([]string(nil), w.breaches...)
+	trace := append(slices.Clone(w.trace), Event{At: time.Now(), Kind: Ended})
+	return append(slices.Clone(w.breaches), Check(trace, Rules{Cancel: time.Duration(w.CancelS * float64(time.Second)), Limits: w.limits, Quiet: w.quiet})...)
 }
 
 // Starts counts the tasks started.
@@ -128,24 +132,18 @@
 func (w *World) spec(id string) *wire.Job {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.jobs[id]
+	return w.specs[id]
 }
 
 func (w *World) breach(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.breachLocked(format, args...)
-}
-
-func (w *World) breachLocked(format string, args ...any) {
 	w.breaches = append(w.breaches, fmt.Sprintf(format, args...))
 }
 
-func (w *World) checkCancelled(task string) {
-	id, _, _ := strings.Cut(task, "/")
-	if at, ok := w.cancelled[id]; ok && time.Since(at) > time.Duration(w.CancelS*float64(time.Second)) {
-		w.breachLocked("ran_cancelled: %s, %v after", task, time.Since(at))
-	}
+// held: a start was accepted.
+func (w *World) held(k *Worker, t *workerTask) {
+	w.Saw(Event{Kind: TaskHeld, Task: t.name, Machine: k.m.Name})
 }
 
 // on: a task is on a machine from now.
@@ -153,44 +151,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
-	if o := w.running[t.name]; o != nil {
-		w.breachLocked("ran_twice: %s on %s and %s", t.name, o.m.Name, k.m.Name)
-	}
 	w.running[t.name] = k
-	w.checkCancelled(t.name)
-	j := t.spec
-	if k.m.Spot && !j.Spot || j.Zone != "" && j.Zone != k.m.Zone {
-		w.breachLocked("wrong_place: %s on %s", t.name, k.m.Name)
-	}
-	if limit := w.limits[j.Team]; limit > 0 {
-		used := 0.0
-		for x := range w.running {
-			id, _, _ := strings.Cut(x, "/")
-			if w.jobs[id].Team == j.Team {
-				used += w.jobs[id].CPUs
-			}
-		}
-		if used > limit+1e-9 {
-			w.breachLocked("quota: %s uses %g of %g", j.Team, used, limit)
-		}
-	}
-	perZone := map[string]int{}
-	id, _, _ := strings.Cut(t.name, "/")
-	for x, o := range w.running {
-		if strings.HasPrefix(x, id+"/") {
-			perZone[o.m.Zone]++
-		}
-	}
-	if j.OneZone && len(perZone) > 1 || j.Spread && perZone[k.m.Zone] > (j.Tasks+1)/2 {
-		w.breachLocked("wrong_place: %s among %v", t.name, perZone)
-	}
+	w.saw(Event{Kind: TaskOn, Task: t.name, Machine: k.m.Name})
 }
 
-func (w *World) off(k *Worker, t *workerTask) {
+// off: it has left the machine.
+func (w *World) off(k *Worker, t *workerTask, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.saw(Event{Kind: TaskOff, At: at, Task: t.name, Machine: k.m.Name})
 	if w.running[t.name] == k {
-		w.checkCancelled(t.name)
 		delete(w.running, t.name)
 	}
 }
@@ -198,11 +168,12 @@
 func (w *World) finished(t *workerTask) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	id, _, _ := strings.Cut(t.name, "/")
+	id := jobOf(t.name)
 	if w.done[id] == nil {
 		w.done[id] = map[string]bool{}
 	}
 	w.done[id][t.name] = true
+	w.saw(Event{Kind: TaskDone, Task: t.name})
 }
 
 // Fate of a message.
@@ -210,10 +181,12 @@
 
 // What a Net can do with a request.
 const (
-	Deliver Fate = iota
-	Refuse       // at once
-	Drop         // silence
-	Late         // executed after LateBy; the caller has long given up
+	Deliver    Fate = iota
+	Refuse          // at once
+	Drop            // silence
+	Late            // executed after LateBy and up to Spread; the caller has long given up
+	Unanswered      // executed at once; only the answer is lost
+	Slow            // executed after LateBy, and answered
 )
 
 // Net carries requests to the stand-ins. Each controller has its own, so that
@@ -223,10 +196,15 @@
 	mu     sync.Mutex
 	judge  func(*http.Request) Fate
 	LateBy time.Duration
+	// Spread is how much more a message may be late by.
+	Spread time.Duration
+	rng    *rand.Rand
 }
 
 // Net returns a network of its own for a controller.
-func (w *World) Net() *Net { return &Net{w: w, LateBy: 5 * time.Second} }
+func (w *World) Net() *Net {
+	return &Net{w: w, LateBy: 5 * time.Second, rng: rand.New(rand.NewPCG(5, 6))}
+}
 
 // Judge sets what becomes of each request; nil: all are delivered.
 func (n *Net) Judge(f func(*http.Request) Fate) {
@@ -238,7 +216,10 @@
 // RoundTrip delivers a request.
 func (n *Net) RoundTrip(r *http.Request) (*http.Response, error) {
 	n.mu.Lock()
-	judge := n.judge
+	judge, late := n.judge, n.LateBy
+	if n.Spread > 0 {
+		late += time.Duration(n.rng.Int64N(int64(n.Spread)))
+	}
 	n.mu.Unlock()
 	var body []byte
 	if r.Body != nil {
@@ -272,7 +253,6 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	case Late:
-		late := n.LateBy
 		go func() {
 			select {
 			case <-time.After(late):
@@ -283,8 +263,17 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
+	pass := 2 * time.Millisecond
+	switch fate {
+	case Unanswered:
+		go run(n.w.ctx)
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	case Slow:
+		pass = late
+	}
 	select {
-	case <-time.After(2 * time.Millisecond):
+	case <-time.After(pass):
 	case <-r.Context().Done():
 		return nil, r.Context().Err()
 	}
