--- a/internal/controller/trouble_test.go
+++ b/internal/controller/trouble_test.go
@@ -288,7 +288,7 @@
 // begins within four minutes and gets done while small ones keep coming.
 func TestLargestIsServedInAFlood(t *testing.T) {
 	inWorld(t, func(c *cluster) {
-		c.world.Cloud.Capacity = 2
+		c.world.Cloud.SetCapacity(2)
 		late := func(id string, tasks int) {
 			b := jobBody(id, wire.Array, "blue", "normal", tasks, 4, 8)
 			b["dueS"] = 60
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -33,6 +33,8 @@
 	user  *standin.Net
 	mu    sync.Mutex // of next, since several users may ask at a time
 	next  int
+	// looks: until then users ask everywhere as soon as they were told something.
+	looks atomic.Pointer[time.Time]
 }
 
 type node struct {
@@ -42,6 +44,8 @@
 	cancel  context.CancelFunc
 	wg      *sync.WaitGroup
 	meshCut atomic.Bool
+	deaf    atomic.Bool // to workers
+	shut    atomic.Bool // to users
 	mu      sync.Mutex
 }
 
@@ -161,7 +165,14 @@
 	n.brain, n.cancel, n.wg = b, cancel, &sync.WaitGroup{}
 	n.mu.Unlock()
 	b.start(n.wg)
-	c.world.Serve(n.cfg.APIAddr, api.Handler(b, api.Limits{Connections: 100, Requests: 50}))
+	h := api.Handler(b, api.Limits{Connections: 100, Requests: 50})
+	c.world.Serve(n.cfg.APIAddr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if report := r.URL.Path == "/v1/report"; report && n.deaf.Load() || !report && n.shut.Load() {
+			<-r.Context().Done()
+			return
+		}
+		h.ServeHTTP(w, r)
+	}))
 }
 
 func (c *cluster) kill(i int) {
@@ -203,6 +214,11 @@
 		e.State, _ = out["tide"].(string)
 	}
 	c.world.Saw(e)
+	if until := c.looks.Load(); until != nil && time.Now().Before(*until) && call != standin.Poll && e.Status/100 == 2 {
+		for i := range c.nodes {
+			go c.ask(i, standin.Poll, id, nil, nil)
+		}
+	}
 	return e.Status, out
 }
 
@@ -354,7 +370,7 @@
 // A team never exceeds its limit, and a preemptor takes room from lower work.
 func TestLimitAndPreemption(t *testing.T) {
 	inWorld(t, func(c *cluster) {
-		c.world.Cloud.Capacity = 3
+		c.world.Cloud.SetCapacity(3)
 		c.submit(jobBody("wk-1", wire.Array, "red", "low", 40, 2, 6))
 		c.await("the array runs", time.Minute, func() bool { return c.world.Running("wk-1") > 2 })
 		c.submit(jobBody("wk-2", wire.Array, "blue", "low", 40, 2, 6))
@@ -428,7 +444,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		var mu sync.Mutex
 		for _, n := range c.nodes {
-			n.net.LateBy = 3 * time.Second
+			n.net.SetLate(3 * time.Second, 0)
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				mu.Lock()
 				defer mu.Unlock()
@@ -457,7 +473,7 @@
 func TestLateDirectStart(t *testing.T) {
 	inWorld(t, func(c *cluster) {
 		for _, n := range c.nodes {
-			n.net.LateBy = 30 * time.Second
+			n.net.SetLate(30 * time.Second, 0)
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				if r.URL.Path == "/do" {
 					return standin.Late
@@ -638,7 +654,7 @@
 	for kill := range 5 {
 		t.Run(fmt.Sprint(kill), func(t *testing.T) {
 			inWorld(t, func(c *cluster) {
-				c.world.Cloud.Capacity = 8
+				c.world.Cloud.SetCapacity(8)
 				c.submit(jobBody("wk-1", wire.Array, "blue", "low", 60, 2, 10))
 				c.await("machines are up", time.Minute, func() bool { return c.world.Running("wk-1") >= 10 })
 				b := jobBody("wk-2", wire.Service, "blue", "production", 6, 3, 0)
@@ -746,7 +762,7 @@
 		rng := rand.New(rand.NewPCG(3, 4))
 		var mu sync.Mutex
 		for _, n := range c.nodes {
-			n.net.LateBy = 40 * time.Second
+			n.net.SetLate(40 * time.Second, 0)
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				mu.Lock()
 				defer mu.Unlock()
@@ -756,7 +772,7 @@
 				return standin.Deliver
 			})
 		}
-		c.world.Cloud.Capacity = 4
+		c.world.Cloud.SetCapacity(4)
 		c.submit(jobBody("wk-1", wire.Array, "blue", "low", 700, 1, 1))
 		c.awaitDone("wk-1", 20*time.Minute)
 		time.Sleep(time.Minute)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -25,8 +25,7 @@
 	rentals  []*rental
 	answered map[string][]string
 	down     bool
-	// Capacity is how many machines there may be at a time.
-	Capacity int
+	capacity int // how many machines there may be at a time
 }
 
 // SetDown begins or ends an outage.
@@ -36,6 +35,16 @@
 	c.down = down
 }
 
+// SetCapacity sets how many machines there may be at a time, and tells how many
+// there might have been before.
+func (c *Cloud) SetCapacity(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.capacity
+	c.capacity = n
+	return before
+}
+
 // ServeHTTP answers as the protocol says.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
@@ -61,7 +70,7 @@
 				alive++
 			}
 		}
-		n := min(q.Count, c.Capacity-alive)
+		n := min(q.Count, c.capacity-alive)
 		if n <= 0 {
 			reply(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
 			return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -48,15 +48,19 @@
 	mute bool
 	// hung: it does nothing, and goes on later if its lease still runs. Commands
 	// that come meanwhile are executed then.
-	hung chan struct{}
+	hung   chan struct{}
+	hungAt time.Time
 	// drift is how much longer than nominal its lease is, by its clock and others'.
 	drift float64
-	last  []byte // its newest report
-	nudge chan struct{}
+	net   *Net // by which it reaches the controllers
+	// copies, if set, is handed each report as it is sent.
+	copies func([]byte)
+	last   []byte // its newest report
+	nudge  chan struct{}
 }
 
 func newWorker(w *World, m wire.CloudMachine, t wire.MachineType) *Worker {
-	k := &Worker{w: w, m: m, typ: t, session: 1, tasks: map[string]*workerTask{}, nudge: make(chan struct{}, 1)}
+	k := &Worker{w: w, m: m, typ: t, session: 1, tasks: map[string]*workerTask{}, nudge: make(chan struct{}, 1), net: w.Net()}
 	w.serve(m.Addr, k)
 	go k.run()
 	return k
@@ -75,6 +79,9 @@
 	if k.dead {
 		return
 	}
+	if k.up {
+		k.advance() // perhaps its lease was over already
+	}
 	k.dead = true
 	k.drop(time.Now())
 	k.w.Saw(Event{Kind: MachineGone, Machine: k.m.Name})
@@ -110,10 +117,14 @@
 	defer k.mu.Unlock()
 	switch {
 	case hung && k.hung == nil:
-		k.hung = make(chan struct{})
+		k.advance()
+		k.hung, k.hungAt = make(chan struct{}), time.Now()
 	case !hung && k.hung != nil:
 		close(k.hung)
 		k.hung = nil
+		for _, t := range k.tasks {
+			t.from = t.from.Add(time.Since(k.hungAt)) // they stood still as well
+		}
 		k.advance()
 	}
 }
@@ -135,16 +146,17 @@
 	return true
 }
 
-// Resend posts the newest report to a controller once more.
-func (k *Worker) Resend(addr string) {
-	raw := k.LastReport()
-	if raw == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(k.w.ctx, 4*time.Second)
-	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/report", bytes.NewReader(raw))
-	_, _ = k.w.net.RoundTrip(req)
+// Net is how the machine reaches the controllers.
+func (k *Worker) Net() *Net { return k.net }
+
+// Addr is where it takes direct commands.
+func (k *Worker) Addr() string { return k.m.Addr }
+
+// OnReport has f handed each report as it is sent; nil: nobody.
+func (k *Worker) OnReport(f func([]byte)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.copies = f
 }
 
 // SetCut cuts the machine off, or joins it again.
@@ -247,6 +259,9 @@
 		k.seq, k.renewed = 0, now
 		k.changed()
 	}
+	if k.hung != nil {
+		return
+	}
 	for _, t := range k.tasks {
 		if t.state == wire.Fetching && now.Sub(t.from) >= time.Duration(t.spec.ImageGB*float64(time.Second)) {
 			t.state, t.from = wire.Running, now
@@ -305,11 +320,15 @@
 	raw, _ := json.Marshal(r)
 	k.mu.Lock()
 	k.last = raw
+	copies := k.copies
 	k.mu.Unlock()
+	if copies != nil {
+		copies(raw)
+	}
 	ctx, cancel := context.WithTimeout(k.w.ctx, 4*time.Second)
 	defer cancel()
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/report", bytes.NewReader(raw))
-	resp, err := k.w.net.RoundTrip(req)
+	resp, err := k.net.RoundTrip(req)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.wait() || k.dead || k.cut || ctx.Err() != nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -48,7 +48,7 @@
 		handlers: map[string]http.Handler{}, specs: map[string]*wire.Job{}, running: map[string]*Worker{},
 		done: map[string]map[string]bool{}, limits: map[string]core.Res{}}
 	w.net = w.Net()
-	w.Cloud = &Cloud{world: w, types: types, answered: map[string][]string{}, Capacity: 20}
+	w.Cloud = &Cloud{world: w, types: types, answered: map[string][]string{}, capacity: 20}
 	w.serve("state:1", w.State)
 	w.serve("cloud:1", w.Cloud)
 	return w
@@ -184,9 +184,9 @@
 	Deliver    Fate = iota
 	Refuse          // at once
 	Drop            // silence
-	Late            // executed after LateBy and up to Spread; the caller has long given up
+	Late            // executed some time after; the caller has long given up
 	Unanswered      // executed at once; only the answer is lost
-	Slow            // executed after LateBy, and answered
+	Slow            // executed some time after, and answered
 )
 
 // Net carries requests to the stand-ins. Each controller has its own, so that
@@ -195,15 +195,21 @@
 	w      *World
 	mu     sync.Mutex
 	judge  func(*http.Request) Fate
-	LateBy time.Duration
-	// Spread is how much more a message may be late by.
-	Spread time.Duration
+	late   time.Duration // by which a message is late
+	spread time.Duration // and how much more it may be
 	rng    *rand.Rand
 }
 
 // Net returns a network of its own for a controller.
 func (w *World) Net() *Net {
-	return &Net{w: w, LateBy: 5 * time.Second, rng: rand.New(rand.NewPCG(5, 6))}
+	return &Net{w: w, late: 5 * time.Second, rng: rand.New(rand.NewPCG(5, 6))}
+}
+
+// SetLate sets by how much messages are late, and how much more they may be.
+func (n *Net) SetLate(by, spread time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.late, n.spread = by, spread
 }
 
 // Judge sets what becomes of each request; nil: all are delivered.
@@ -216,9 +222,9 @@
 // RoundTrip delivers a request.
 func (n *Net) RoundTrip(r *http.Request) (*http.Response, error) {
 	n.mu.Lock()
-	judge, late := n.judge, n.LateBy
-	if n.Spread > 0 {
-		late += time.Duration(n.rng.Int64N(int64(n.Spread)))
+	judge, late := n.judge, n.late
+	if n.spread > 0 {
+		late += time.Duration(n.rng.Int64N(int64(n.spread)))
 	}
 	n.mu.Unlock()
 	var body []byte
