--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -90,9 +90,14 @@
 	steps          uint64 // decisions of parts taken so far
 	// yieldUntil: this controller gave its rights up and takes none before then.
 	yieldUntil time.Time
+	gaveUpAt   time.Time // when it last did
 	// wokeAt: this process stood still until then.
 	wokeAt   time.Time
 	reportAt time.Time // of any worker's last report
+	// serves: reports are taken (HoldTime). resumedAt is when they last were again after
+	// an outage: machines could not be heard before.
+	serves    bool
+	resumedAt time.Time
 	// lastTick is when the actor last came to its duties, laggedAt when it last
 	// came late to them: see lagging.
 	lastTick, laggedAt time.Time
@@ -509,9 +514,10 @@
 		}
 		j.recs = append(j.recs, r)
 	}
-	if r.part != v.Part {
+	if r.part != v.Part || r.zone != v.Zone {
 		if r.part >= 0 {
-			// A binding of ours that is being stored fails, or came before.
+			// A binding of ours that is being stored fails, or came before. What waits
+			// for cells in another zone must not get them there.
 			b.cancelClaims(r, true)
 		}
 		r.since = b.now
--- /dev/null
+++ b/internal/controller/causes_test.go
@@ -0,0 +1,266 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/wire"
+
+	"pgregory.net/rapid"
+)
+
+// Tests of what reading the code for the meetings brought up (docs/meetings.md).
+
+// A samePlace job whose zone has lost all its machines goes to one that has room, once
+// all its tasks are proven gone; before, it waited for the first zone for ever.
+func TestSamePlaceJobLeavesALostZone(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.zoned(1, 3, "a")
+		c.zoned(4, 3, "b")
+		c.await("the services run", time.Minute, func() bool { return c.allRun(6, 1) })
+		b := jobBody("wk-9", wire.Array, "blue", "normal", 2, 1, 30)
+		b["samePlace"] = true
+		c.submit(b)
+		c.await("the job runs", time.Minute, func() bool { return c.world.Running("wk-9") == 2 })
+		zone := map[string]bool{}
+		for _, n := range c.nodes {
+			n.brain.ask(c.ctx, laneState, func() {
+				for _, r := range n.brain.jobs["wk-9"].recs {
+					zone[r.zone] = true
+				}
+			})
+		}
+		c.world.Cloud.SetDown(true)
+		for _, w := range c.world.Cloud.Workers() {
+			if zone[w.Zone()] {
+				w.Die()
+			}
+		}
+		c.world.SetQuiet()
+		c.awaitDone("wk-9", 3*time.Minute)
+		c.world.Cloud.SetDown(false)
+	})
+}
+
+// After an outage for longer than reports may be answered, no machine is taken to be
+// silent: this controller heard none since it did not listen.
+func TestMachinesAreKeptAfterALongOutage(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(4, 2)
+		var busy []*standin.Worker
+		for _, w := range c.world.Cloud.Workers() {
+			if c.boundTo(w.Name()) > 0 {
+				busy = append(busy, w)
+			}
+		}
+		c.world.State.SetDown(true)
+		time.Sleep(90 * time.Second)
+		c.world.State.SetDown(false)
+		c.world.SetQuiet()
+		for range 40 {
+			time.Sleep(250 * time.Millisecond)
+			for _, w := range busy {
+				if !slices.Contains(c.world.Cloud.Workers(), w) {
+					t.Fatalf("%s is returned", w.Name())
+				}
+			}
+		}
+		c.await("the services run", 40*time.Second, func() bool { return c.allRun(4, 2) })
+	})
+}
+
+// A machine that reaches no controller while it hears them: its replicas run elsewhere
+// as soon as its lease has ended, which it tells when it is asked, and it is replaced
+// however well it answers. (Moving the replicas before the lease ends was tried: they
+// lacked for as long.)
+func TestMuteMachine(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(5, 2)
+		time.Sleep(10 * time.Second)
+		var w *standin.Worker
+		for _, x := range c.world.Cloud.Workers() {
+			if c.boundTo(x.Name()) > 0 {
+				w = x
+			}
+		}
+		w.SetMute(true)
+		began := time.Now()
+		lacking := time.Duration(0)
+		for time.Since(began) < 20*time.Second {
+			time.Sleep(100 * time.Millisecond)
+			if !c.allRun(5, 2) {
+				lacking += 100 * time.Millisecond
+			}
+		}
+		if lacking == 0 || lacking > 2*time.Second {
+			t.Errorf("replicas lack for %v", lacking)
+		}
+		c.await("it is replaced", 40*time.Second, func() bool { return !slices.Contains(c.world.Cloud.Workers(), w) })
+	})
+}
+
+// An owner starts nothing on the strength of an old read: somebody may have told a user
+// "cancelled" since. It goes on answering reports, so that what runs goes on.
+func TestNoStartAfterAnOldRead(t *testing.T) {
+	b := lone(t)
+	p := b.parts[0]
+	m := b.machine("host-1")
+	b.takeReport(m, &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
+	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 1, CPUs: 1, Team: "t"}}), 2)
+	b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: []entryValue{{Attempt: 1, Machine: "host-1", Session: 1}}}), 3)
+	if cmds := b.commands(m, p); len(cmds) != 1 || cmds[0].Op != wire.OpStart {
+		t.Fatalf("commands %v", cmds)
+	}
+	b.now = b.now.Add(b.op.RightTTL + time.Second)
+	if cmds := b.commands(m, p); len(cmds) != 0 {
+		t.Errorf("commands %v on an old read", cmds)
+	}
+	if !b.fresh(b.hold) {
+		t.Error("reports are not answered any more")
+	}
+}
+
+// Jobs that fail wherever they are put don't speak against machines; a machine that
+// fails others' tasks is sick; and neither is barred from the other for good.
+func TestWhoIsToBlameForFailures(t *testing.T) {
+	b := lone(t)
+	job := func(id string) *job {
+		b.put(jobKey(id), raw(t, jobValue{Job: &wire.Job{ID: id, Tasks: 9, CPUs: 1, Team: "t"}}), b.cursor+uint64(len(b.vers))+5)
+		return b.jobs[id]
+	}
+	bad, worse := job("wk-1"), job("wk-2")
+	for i := range 4 {
+		m := b.machine(fmt.Sprint("host-", i))
+		b.taskEnded(m, bad, wire.WhyError)
+		b.taskEnded(m, worse, wire.WhyError)
+	}
+	for i := range 4 {
+		if b.machine(fmt.Sprint("host-", i)).suspect {
+			t.Errorf("machine %d is blamed for two mistaken jobs", i)
+		}
+	}
+	sick := b.machine("host-9")
+	good, fine := job("wk-3"), job("wk-4")
+	b.taskEnded(sick, good, wire.WhyError)
+	if sick.suspect {
+		t.Error("a machine is blamed for one failure")
+	}
+	b.taskEnded(sick, fine, wire.WhyError)
+	if !sick.suspect {
+		t.Error("a machine that fails several jobs is not found")
+	}
+	if !b.barred(sick, good) {
+		t.Error("the job is put there again at once")
+	}
+	b.now = b.now.Add(barredFor + time.Second)
+	if b.barred(sick, good) {
+		t.Error("the machine is barred to the job for good")
+	}
+}
+
+// Tasks of a record that may not run all move to a part that has room, and take so much
+// of its cap along: no more may run than before, and none waits beside the room.
+func TestCappedRecordIsSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "tasks")
+		may := rapid.IntRange(1, n).Draw(t, "may run")
+		bound := rapid.IntRange(0, may-1).Draw(t, "are bound")
+		r := &rec{cap: may + 1, placed: bound}
+		for i := range n {
+			e := entry{num: int32(i)}
+			if i < bound {
+				e.m = &machine{}
+			}
+			r.entries = append(r.entries, e)
+		}
+		leave := rapid.IntRange(1, may-bound).Draw(t, "leave")
+		left, moved := r.split(slices.Concat(r.entries[:bound], r.entries[bound+leave:]), r.entries[bound:bound+leave])
+		if len(left.entries) == 0 {
+			left.cap = 1 // it is the same record
+		}
+		if left.may()+moved.may() != may || len(left.entries)+len(moved.entries) != n || moved.may() != leave || left.may() < bound {
+			t.Fatalf("%d and %d of %d may run", left.may(), moved.may(), may)
+		}
+	})
+}
+
+// Whatever the settings, what is answered last, within the hold time of a read that began
+// before a cancellation, has ended on the slowest clock within cancel_s; and a former
+// owner's time and a successor's don't add up, since each counts from a read of its own.
+func TestHoldTimeKeepsCancellations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lease := rapid.Float64Range(0.5, 600).Draw(t, "lease")
+		cancel := lease + rapid.Float64Range(0.05, 600).Draw(t, "more")
+		hold := config.HoldTime(cancel, lease)
+		if hold <= 0 {
+			return // refused as a setting
+		}
+		// The controller's clock is slow, the worker's too, by the bound of each.
+		const drift = 0.0005
+		read := rapid.Float64Range(-5, 0).Draw(t, "read before the cancellation")
+		last := read + hold.Seconds()*(1+drift)
+		if end := last + lease*(1+drift); end >= cancel {
+			t.Fatalf("lease %v, cancel %v: gone %v after", lease, cancel, end)
+		}
+		if end := config.LeaseEnd(cancel, lease).Seconds() * (1 - drift); end <= lease*(1+drift) {
+			t.Fatalf("lease %v is taken to be over after %v", lease, end)
+		}
+	})
+}
+
+// A job for which there is no machine has nothing of its team stopped: the room that
+// came of that went to others of the team, which were stopped for it in turn.
+func TestNothingIsStoppedForAJobWithoutAMachine(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Array, "red", "low", 40, 2, 60))
+		c.await("the limit is used up", time.Minute, func() bool { return c.world.Running("wk-1") == 12 })
+		c.submit(jobBody("wk-2", wire.Array, "red", "low", 40, 2, 60))
+		c.world.Cloud.SetDown(true)
+		for _, w := range c.world.Cloud.Workers() {
+			if w.Zone() == "b" {
+				t.Fatal("there is a machine in zone b")
+			}
+		}
+		b := jobBody("wk-3", wire.Array, "red", "normal", 8, 2, 5)
+		b["shore"] = "b"
+		c.submit(b)
+		before := c.world.Starts()
+		time.Sleep(20 * time.Second)
+		if n := c.world.Starts() - before; n > 0 || c.world.Running("wk-1") != 12 {
+			t.Errorf("%d starts, %d tasks run", n, c.world.Running("wk-1"))
+		}
+		c.world.Cloud.SetDown(false)
+		c.awaitDone("wk-3", 3*time.Minute)
+	})
+}
+
+// Where all machines have died and the cloud gives no others, nobody hears a worker. The
+// rights don't go round for that: each change of hands would begin the wait for the
+// leases anew, and what ran would never be proven gone.
+func TestRightsStayWhereNobodyHearsWorkers(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.services(6, 2)
+		time.Sleep(10 * time.Second)
+		c.world.Cloud.SetDown(true)
+		for _, w := range c.world.Cloud.Workers() {
+			w.Die()
+		}
+		time.Sleep(30 * time.Second)
+		before := c.holdersOf()
+		time.Sleep(30 * time.Second)
+		if after := c.holdersOf(); !same(before, after) {
+			t.Errorf("rights went from %v to %v", before, after)
+		}
+		for i := range 6 {
+			if s := c.state(fmt.Sprintf("wk-%d", i+1)); s != wire.Queued {
+				t.Errorf("a service of dead machines is %s", s)
+			}
+		}
+		c.world.Cloud.SetDown(false)
+		c.await("the services run", time.Minute, func() bool { return c.allRun(6, 2) })
+	})
+}
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -51,6 +51,19 @@
 	alike := map[string]int{} // where in wants the services of a kind are
 	short := map[int32]bool{} // teams in which somebody waits for the limit
 	b.lead.ahead = b.dealAhead(lost)
+	places := map[string]bool{} // whether jobs of a kind find any room at all
+	placeable := func(j *job) bool {
+		kind := j.sig
+		if j.spec.OneZone {
+			kind += "/" + b.pinned(j)
+		}
+		ok, known := places[kind]
+		if !known {
+			ok = b.placeable(hosts, j)
+			places[kind] = ok
+		}
+		return ok
+	}
 	for _, j := range jobs {
 		// While somebody more urgent waits within the team's limit, nothing that
 		// stood back comes forward: it would be stopped and started for ever.
@@ -61,7 +74,7 @@
 		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Whole() {
 			if left := j.spec.Tasks - dealt; left > 0 {
 				n := limits[j.team].Room(j.need, left)
-				short[j.team] = short[j.team] || n < left
+				short[j.team] = short[j.team] || n < left && placeable(j)
 				wants = append(wants, b.want(j, "", n))
 			}
 			continue
@@ -85,7 +98,10 @@
 				continue
 			}
 			before := limits[j.team].Used
-			short[j.team] = short[j.team] || limits[j.team].Room(j.need, left) < left
+			if limits[j.team].Room(j.need, left) < left && placeable(j) {
+				short[j.team] = true
+				b.squeeze(j, limits[j.team].Lack(j.need.Times(left)))
+			}
 			w := b.dealJob(hosts, limits, j, dealt, left, must > 0)
 			if w.Count > 0 {
 				if j.spec.Whole() && j.spec.Tasks == 1 && !b.lentFor(j) {
@@ -94,8 +110,9 @@
 				wants = append(wants, w)
 				noRoom[j.sig] = true
 			}
-			if j.spec.Whole() && limits[j.team].Used == before {
-				// What a group waits for is not for those behind it.
+			if j.spec.Whole() && limits[j.team].Used == before && (b.now.Sub(j.at) < groupPatience || placeable(j)) {
+				// What a group waits for is not for those behind it, unless no machine
+				// has come for it in good time: none may ever.
 				limits[j.team].Used = before.Plus(j.need.Times(left))
 			}
 		}
@@ -103,6 +120,30 @@
 	return wants
 }
 
+// groupPatience is how long a group for which there is no machine holds back its team's
+// limit for one that may come.
+const groupPatience = 45 * time.Second
+
+// placeable tells whether there is a machine on which a task of a job finds room, or may
+// make some. Where there is none, nothing of its team is held back or stopped for it: the
+// room that came of that went to others, who were stopped for it in turn, several times a
+// second.
+func (b *brain) placeable(hosts []*core.Host, j *job) bool {
+	zone := ""
+	if j.spec.OneZone {
+		zone = b.pinned(j)
+	}
+	can := func(h *core.Host) bool {
+		return !h.Booting && (h.Part != b.lentPart() || b.lentFor(j)) && allowed(j.spec, zone, h.Type, h.Zone, h.Spot)
+	}
+	for _, h := range hosts {
+		if can(h) && h.Free.Holds(j.need) {
+			return true
+		}
+	}
+	return core.Evictable(core.Clone(hosts), can, j.need, core.Claim{Level: j.spec.Priority, Team: j.team}) != nil
+}
+
 // settleDealt has the tasks that are dealt and not placed yet take the room in
 // their parts, and moves those that find none to parts that have it. It returns
 // what found none anywhere, and how much of each record that is.
@@ -148,12 +189,15 @@
 	for _, r := range stuck {
 		n := lost[r]
 		c := class{r.job.sig, r.zone, r.part, r.claim()}
-		if !r.writing && r.cap == 0 && b.now.Sub(r.since) > time.Second && (r.job.spec.Whole() || !nowhere[c]) {
+		if !r.writing && b.now.Sub(r.since) > time.Second && (r.job.spec.Whole() || !nowhere[c]) {
 			if b.moveStuck(hosts, r, n) {
 				continue
 			}
 			nowhere[c] = true
 		}
+		if b.otherZone(hosts, r) {
+			continue
+		}
 		wants = append(wants, b.want(r.job, r.zone, n))
 	}
 	return wants, lost
@@ -215,9 +259,6 @@
 	spec := j.spec
 	lim := &limits[j.team]
 	room := lim.Room(j.need, left)
-	if room < left {
-		b.squeeze(j, lim.Lack(j.need.Times(left)))
-	}
 	if spec.Whole() && room < left {
 		room = 0 // it is dealt whole
 	}
@@ -344,16 +385,68 @@
 	return b.want(j, zone, room-got)
 }
 
-// pinned is the zone that a samePlace job's tasks are in already.
+// pinned is the zone that a samePlace job's tasks are in already, or are to be.
 func (b *brain) pinned(j *job) string {
 	for _, r := range j.recs {
-		if r.zone != "" {
+		if r.zone != "" && len(r.entries) > 0 {
 			return r.zone
 		}
 	}
 	return ""
 }
 
+// zonePatience is how long a samePlace job of which nothing runs waits for room in the
+// zone that it was dealt to before it goes to another.
+const zonePatience = 15 * time.Second
+
+// otherZone has a samePlace job of which no task is anywhere go to another zone, if
+// there is no room in the one that it was dealt to, perhaps since that has lost its
+// machines. Bound to it for good, the job waited beside other zones' empty machines
+// for as long as the first one had none. Its tasks are all proven gone, so that nothing
+// is in two zones; an owner that binds one meanwhile loses by its record's version.
+func (b *brain) otherZone(hosts []*core.Host, r *rec) bool {
+	j, spec := r.job, r.job.spec
+	if !spec.OneZone || r.zone == "" || b.now.Sub(r.since) < zonePatience || len(j.recs) > b.cfg.Settings.State.TxnOps {
+		return false
+	}
+	need := 1
+	for _, o := range j.recs {
+		if o.writing || o.zone != r.zone || o.bound() > 0 {
+			return false // one has moved already in this step, and others follow it
+		}
+		if spec.Whole() {
+			need = max(need, len(o.entries))
+		}
+	}
+	room := map[string]int{}
+	for _, h := range hosts {
+		if !h.Booting && h.Part != b.lentPart() && allowed(spec, "", h.Type, h.Zone, h.Spot) {
+			room[h.Zone] += h.Free.Fits(j.need, need)
+		}
+	}
+	best := r.zone
+	for z, n := range room {
+		if n > room[best] || n == room[best] && z < best {
+			best = z
+		}
+	}
+	if best == r.zone || room[best] < need || room[r.zone] >= need {
+		return false
+	}
+	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	for _, o := range j.recs {
+		moved := *o
+		moved.zone = best
+		u.If = append(u.If, wire.Condition{Key: o.key, Version: o.stamp})
+		u.Then = append(u.Then, wire.Change{Put: o.key, Value: moved.value(o.done, o.entries)})
+	}
+	b.log.Info("job goes to another zone", "job", j.id, "from", r.zone, "to", best)
+	b.lead.writes++
+	epoch := b.lead.epoch
+	b.write(u, func(err error) { b.leadWrote(epoch, err) })
+	return true
+}
+
 // zonesFor lists the zones to try; "" stands for any.
 func (b *brain) zonesFor(j *job, hosts []*core.Host) []string {
 	if !j.spec.OneZone && !j.spec.Spread {
@@ -402,8 +495,8 @@
 	if spec.Whole() && n < len(r.entries) && r.bound() == 0 {
 		n = len(r.entries) // a group that has not started moves whole
 	}
-	if spec.Gang && r.bound() > 0 || r.cap != 0 {
-		return false // two records with one's cap would count for more than it
+	if spec.Gang && r.bound() > 0 {
+		return false
 	}
 	perPart := make([]int, len(b.parts))
 	can := func(h *core.Host) bool {
@@ -450,15 +543,15 @@
 	if !taken {
 		core.Take(hosts, in, r.job.need, len(move))
 	}
-	moved := *r
-	moved.part = best
 	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
+	left, moved := r.split(stay, move)
+	moved.part = best
 	if len(stay) == 0 {
 		u.Then = []wire.Change{{Put: r.key, Value: moved.value(r.done, move)}}
 	} else {
 		key := groupKey(r.job.id, r.job.newRec())
 		u.If = append(u.If, wire.Condition{Key: key})
-		u.Then = []wire.Change{{Put: r.key, Value: r.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
+		u.Then = []wire.Change{{Put: r.key, Value: left.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
 	}
 	b.metrics.count(cMoved, 1)
 	b.log.Debug("tasks move to another part", "job", r.job.id, "tasks", len(move), "part", best)
--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -116,7 +116,9 @@
 // silent: the machine neither reports nor answers direct commands, while most
 // others of the part do, or it reports and hears nothing.
 func (b *brain) silent(m *machine, p *part) bool {
-	if m.gone || !b.quiet(m, p) {
+	// While no reports are taken (HoldTime) all are quiet. The leader, back from the
+	// same outage a moment earlier, returned the machines of which a sibling said so.
+	if m.gone || !b.fresh(b.hold) || !b.quiet(m, p) {
 		return false
 	}
 	// A machine whose lease is over has lost its tasks anyhow.
@@ -155,6 +157,9 @@
 		return true // it reports all the same, so that commands can't be late
 	}
 	since := b.heardSince(m, p)
+	if b.now.Sub(since) > b.lease+b.silentAfter() && b.now.Sub(b.wokeAt) > b.silentAfter() && b.now.Sub(b.reportAt) < b.quietAfter() {
+		return true // whatever it answers: its lease is over, and it takes no work
+	}
 	if m.probeOK.After(since) {
 		since = m.probeOK
 	}
@@ -221,6 +226,9 @@
 // long enough that all machines of it must have reported.
 func (b *brain) vouched(p int) bool {
 	since := b.lead.vouchedAt[p]
+	if b.resumedAt.After(since) && !since.IsZero() {
+		since = b.resumedAt // machines could not report before
+	}
 	return !since.IsZero() && b.now.Sub(since) > 2*config.Seconds(b.cfg.Settings.Workers.ReportS)+12*time.Second
 }
 
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -35,7 +35,7 @@
 	images       map[string]bool
 	fetching     map[string]time.Time // images that are being fetched, since when
 	cooling      time.Time            // nothing is placed on it before then
-	failed       map[string]bool
+	failed       map[string]time.Time // jobs of which a task failed here, and when
 	suspect      bool
 	suspectAt    time.Time
 
@@ -55,10 +55,10 @@
 	probeOK  time.Time
 	// A machine may report and yet hear nothing: neither our answers nor direct
 	// commands. unanswered counts the latter since the last that was answered;
-	// mute means that it lost its lease although we answered its reports, and
+	// lapsed means that it lost its lease although we answered its reports, and
 	// has not answered us since.
 	unanswered int
-	mute       bool
+	lapsed     bool
 
 	// Looked up once in a step, see brain.open and pinnedBy.
 	open, pinned     bool
@@ -86,7 +86,7 @@
 func (b *brain) machine(name string) *machine {
 	m := b.machines[name]
 	if m == nil {
-		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), images: map[string]bool{}, fetching: map[string]time.Time{}, failed: map[string]bool{}}
+		m = &machine{name: name, idx: int32(len(b.byIdx)), hash: partOf(name, b.cfg.Settings.Count), images: map[string]bool{}, fetching: map[string]time.Time{}, failed: map[string]time.Time{}}
 		m.gone = b.gone[name]
 		m.home = b.homeOf(m)
 		b.machines[name] = m
@@ -184,14 +184,21 @@
 // Nothing is placed on it, and it is replaced if it stays so. When that seems so
 // of most machines, it is we who can't be heard: they are all alike then.
 func (m *machine) deaf(p *part) bool {
-	return (m.mute || m.unanswered >= deafAfter) && !p.hoarse
+	return (m.lapsed || m.unanswered >= deafAfter) && !p.hoarse
 }
 
+// heardSince is when a machine was last heard, or since when it could have been. While
+// this controller answers no reports (HoldTime) it hears none: after a long outage all
+// machines would else be found silent at once, and returned with all that they run.
 func (b *brain) heardSince(m *machine, p *part) time.Time {
-	if t := p.took(m); !m.heard.After(t) {
-		return t
+	t := p.took(m)
+	if b.resumedAt.After(t) {
+		t = b.resumedAt
 	}
-	return m.heard
+	if m.heard.After(t) {
+		return m.heard
+	}
+	return t
 }
 
 // up tells whether an owner may place on its machine. It must have shown a token
@@ -268,7 +275,7 @@
 		b.log.Info("machine begins a new session", "machine", m.name, "session", r.Session)
 		m.images, m.fetching = map[string]bool{}, map[string]time.Time{}
 		m.openDo, m.respOpen = 0, false // commands of an earlier session are refused
-		m.mute = !m.answered.IsZero()   // it lost its lease: did it hear us at all?
+		m.lapsed = !m.answered.IsZero() // it lost its lease: did it hear us at all?
 	}
 	// Most reports say nothing that changes a decision: a tick comes soon enough.
 	news := r.Session != m.session || r.Token != m.token || (r.NoticeS == nil) != m.notice.IsZero() || viaReport && !b.up(m, p)
@@ -277,7 +284,7 @@
 	first := m.heard.Before(p.since)
 	m.probeOK = b.now
 	if !viaReport {
-		m.mute, m.unanswered = false, 0
+		m.lapsed, m.unanswered = false, 0
 	}
 	if viaReport {
 		m.heard = b.now
@@ -299,7 +306,7 @@
 	if p.active && !m.gone {
 		b.judge(m, p)
 	}
-	if viaReport && (m.mute || m.token < p.gained) {
+	if viaReport && (m.lapsed || m.token < p.gained) {
 		b.ping(m, p) // it answers, and shows our token, if it hears us
 	}
 	if news {
@@ -388,24 +395,26 @@
 func (b *brain) taskEnded(m *machine, j *job, why string) {
 	switch why {
 	case wire.WhyDone:
-		m.failed = map[string]bool{}
+		clear(m.failed)
 	case wire.WhyError:
 		// A machine that fails tasks of several jobs is sick; a job that fails
 		// on several machines is its user's mistake. Until it is clear which,
 		// both rest a while: a sick machine fails what it gets at once and
 		// would else eat a whole array.
-		m.failed[j.id] = true
+		m.failed[j.id] = b.now
 		if j.failedOn == nil {
 			j.failedOn = map[string]bool{}
 		}
 		j.failedOn[m.name] = true
-		if n := len(j.failedOn); n >= 3 {
-			j.retryAt = b.now.Add(min(time.Second<<min(n-3, 5), 30*time.Second))
+		if n := len(j.failedOn); n >= manyFailed {
+			j.retryAt = b.now.Add(min(time.Second<<min(n-manyFailed, 5), 30*time.Second))
 		}
 		m.cooling = b.now.Add(5 * time.Second)
-		if len(m.failed) >= 2 && !m.suspect {
-			m.suspect, m.suspectAt = true, b.now
-			b.log.Info("machine fails tasks of several jobs", "machine", m.name)
+		b.weighFailures(m)
+		if j.mistaken() {
+			for name := range j.failedOn {
+				b.weighFailures(b.machine(name))
+			}
 		}
 		b.log.Info("task failed", "job", j.id, "machine", m.name)
 	case wire.WhyNoRoom, wire.WhyBusy, wire.WhyUnknown:
@@ -414,6 +423,49 @@
 	}
 }
 
+// manyFailed is on how many machines a job's tasks have failed when that begins to
+// speak against the job.
+const manyFailed = 3
+
+// barredFor is how long a machine that failed a job's task gets none of it. It may be
+// the only one that fits, and have been sick for a while only: barred for good, the
+// job waited beside an empty machine for ever.
+const barredFor = time.Minute
+
+// mistaken tells whether a job fails wherever it is put, as one does that its user
+// submitted with a mistake. Nothing of it has ever got done.
+func (j *job) mistaken() bool {
+	if len(j.failedOn) < manyFailed {
+		return false
+	}
+	_, finished := j.dealt()
+	return finished == 0
+}
+
+// weighFailures decides whether a machine is sick: it has failed tasks of several jobs
+// of late. Mistaken jobs say nothing of it: two of them, failing on each machine in
+// turn, would else have the whole fleet emptied and returned.
+func (b *brain) weighFailures(m *machine) {
+	n := 0
+	for id, at := range m.failed {
+		if j := b.jobs[id]; j == nil || b.now.Sub(at) > barredFor {
+			delete(m.failed, id)
+		} else if !j.mistaken() {
+			n++
+		}
+	}
+	if sick := n >= 2; sick != m.suspect {
+		m.suspect, m.suspectAt = sick, b.now
+		b.log.Info("machine fails tasks of several jobs", "machine", m.name, "sick", sick)
+	}
+}
+
+// barred tells whether a machine gets none of a job just now.
+func (b *brain) barred(m *machine, j *job) bool {
+	at, ok := m.failed[j.id]
+	return ok && b.now.Sub(at) < barredFor
+}
+
 // end notes the proven end of an attempt; the record is rewritten in step.
 func (b *brain) end(r *rec, e *entry, o outcome) {
 	t := r.task(e.num)
@@ -529,7 +581,10 @@
 			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
 		}
 	}
-	if len(shown) == len(m.bound) {
+	// Nothing starts on the strength of an old read: from the moment a user is told
+	// "cancelled", by whomever, no task of the job may. Reports are answered for longer
+	// than that (HoldTime), so that what runs goes on.
+	if len(shown) == len(m.bound) || !b.fresh(b.op.RightTTL) {
 		return stops
 	}
 	for _, x := range m.bound {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -240,7 +240,7 @@
 	j := r.job.spec
 	return func(mi int32, free core.Res) float64 {
 		m := b.byIdx[mi]
-		if !b.open(m, p) || !allowed(j, r.zone, m.typ, m.zone, m.spot) || len(m.failed) > 0 && m.failed[r.job.id] {
+		if !b.open(m, p) || !allowed(j, r.zone, m.typ, m.zone, m.spot) || len(m.failed) > 0 && b.barred(m, r.job) {
 			return -1
 		}
 		s := 1000.0 + b.fetchCost(m, j)
@@ -503,10 +503,10 @@
 				continue
 			}
 			all++
-			if m.mute || m.unanswered >= deafAfter {
+			if m.lapsed || m.unanswered >= deafAfter {
 				deaf++
 			}
-			if m.mute || m.unanswered > 0 || b.now.Sub(b.heardSince(m, p)) > b.quietAfter() {
+			if m.lapsed || m.unanswered > 0 || b.now.Sub(b.heardSince(m, p)) > b.quietAfter() {
 				b.ping(m, p)
 			}
 		}
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -44,7 +44,9 @@
 	}
 	// A new leader does not know yet what is up or booting: it would rent all
 	// of it once more.
-	if b.lead.listed && b.allVouched() || b.now.Sub(b.lead.since) > settleAfter {
+	// Nor does one after a long outage, in which no reports were taken.
+	known := b.lead.listed && b.allVouched() || b.now.Sub(b.lead.since) > settleAfter
+	if known && b.now.Sub(b.resumedAt) > b.quietAfter()+2*time.Second {
 		for o, n := range plan.Plan {
 			b.rent(o, min(n, 50))
 		}
@@ -207,7 +209,7 @@
 			continue
 		}
 		t := b.lead.idle[m.name]
-		if t.IsZero() {
+		if t.IsZero() || t.Before(b.resumedAt) { // an outage tells nothing of what is needed
 			b.lead.idle[m.name] = b.now
 		} else if b.closing[m.name] || b.now.Sub(t) > b.idleFor(b.types[m.typ], m.spot) {
 			names = append(names, m.name)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -265,6 +265,18 @@
 	return false
 }
 
+// split is the record in two, by which tasks stay and which leave. Of a record that may
+// not run all of its tasks those leave that may, and with them so much of its cap: two
+// records with one's cap would count, and run, more than it allows.
+func (r *rec) split(stay, leave []entry) (left, moved rec) {
+	left, moved = *r, *r
+	left.entries, moved.entries = stay, leave
+	if r.cap != 0 && len(stay) > 0 {
+		left.cap, moved.cap = r.cap-len(leave), 0
+	}
+	return left, moved
+}
+
 func (r *rec) claim() core.Claim {
 	return core.Claim{Level: r.job.spec.Priority, Own: r.own, Team: r.job.team}
 }
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		if pref != b.cfg.Name && b.siblingAble(pref) && b.now.Sub(p.since) > 5*time.Second {
-			if s := b.siblings[pref]; b.now.Sub(s.since) > 4*time.Second {
+			if s := b.siblings[pref]; b.now.Sub(s.since) > 4*time.Second && p.settled() {
 				b.log.Info("part handed back", "part", p.n, "to", pref)
 				b.yield(key)
 			}
@@ -58,6 +58,19 @@
 	b.tryTake(keyLeader, wait)
 }
 
+// settled tells whether every machine of a part on which something is bound has been
+// heard since it was taken. Each change of hands begins the wait for leases anew: a part
+// whose machines had all died went back and forth between its preferred node, which
+// heard no worker, and another, and their tasks were never proven gone.
+func (p *part) settled() bool {
+	for _, m := range p.machines {
+		if len(m.bound) > 0 && !m.heard.After(p.since) {
+			return false
+		}
+	}
+	return true
+}
+
 // tryTake takes a right that is vacant since wait, or that our own former
 // process holds: that one is surely dead.
 func (b *brain) tryTake(key string, wait time.Duration) {
@@ -363,7 +376,8 @@
 			heard = heard || m.heard.After(p.since) && b.now.Sub(m.heard) < window
 		}
 	}
-	if known >= 2 && !heard && !young {
+	if known >= 2 && !heard && !young && b.othersMayHear() {
+		b.gaveUpAt = b.now
 		b.log.Info("no worker reaches this controller: giving all rights up", "machines", known)
 		b.yieldUntil = b.now.Add(yieldFor)
 		for key := range b.rights {
@@ -373,6 +387,26 @@
 	}
 }
 
+// othersMayHear tells whether it may help that somebody else has our rights: a sibling
+// has machines that report to it, or that is not known. Where all machines have died
+// everybody hears none, and rights that go round for ever have nobody wait for the
+// leases to end, so then each gives them up once in that time.
+func (b *brain) othersMayHear() bool {
+	known := len(b.siblings) > 0
+	for _, s := range b.siblings {
+		if s.status == nil || b.now.Sub(s.at) > 4*time.Second {
+			known = false
+			continue
+		}
+		for i := range s.status.Machines {
+			if s.status.Machines[i].Flags&mesh.Up != 0 {
+				return true
+			}
+		}
+	}
+	return !known && (b.gaveUpAt.IsZero() || b.reportAt.After(b.gaveUpAt) || b.now.Sub(b.gaveUpAt) > 2*(b.hold+b.lease))
+}
+
 // watchFollowers gives the lead up when neither workers nor other owners reach
 // this controller. Siblings alone don't count: where connections between all
 // controllers are refused, the lead would be passed round for nothing.
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -187,6 +187,12 @@
 		}
 	}
 	b.lastTick = b.now
+	if serves := b.fresh(b.hold); serves != b.serves {
+		b.serves = serves
+		if serves && b.reportAt.After(b.startedAt) {
+			b.resumedAt = b.now
+		}
+	}
 	b.noteReady()
 	if !b.loaded {
 		return
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -444,7 +444,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		var mu sync.Mutex
 		for _, n := range c.nodes {
-			n.net.SetLate(3 * time.Second, 0)
+			n.net.SetLate(3*time.Second, 0)
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				mu.Lock()
 				defer mu.Unlock()
@@ -473,7 +473,7 @@
 func TestLateDirectStart(t *testing.T) {
 	inWorld(t, func(c *cluster) {
 		for _, n := range c.nodes {
-			n.net.SetLate(30 * time.Second, 0)
+			n.net.SetLate(30*time.Second, 0)
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				if r.URL.Path == "/do" {
 					return standin.Late
@@ -762,7 +762,7 @@
 		rng := rand.New(rand.NewPCG(3, 4))
 		var mu sync.Mutex
 		for _, n := range c.nodes {
-			n.net.SetLate(40 * time.Second, 0)
+			n.net.SetLate(40*time.Second, 0)
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				mu.Lock()
 				defer mu.Unlock()
