Gangs: one attempt for all, replacement before it has run, orderly stops, machines kept

A gang has one record and one claim. Its attempt is one number for all tasks, stored with them: it rises when all of the one before are proven gone. What it has come to is read from reports after a take-over. All its machines hear of a stop at once. One that finds no whole room for 8 s has machines kept for it, by the lending there was. The stand-ins know gangs; limits of the state service that are to come hold from the start.

--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -61,12 +61,24 @@
 			ReportS float64 `toml:"report_s"`
 			LeaseS  float64 `toml:"lease_s"`
 			CancelS float64 `toml:"cancel_s"`
+			// How long a gang's task waits for the others, and within what time all must
+			// be told to stop and notice that one is gone. 0: not given.
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
 		} `toml:"workers"`
+		// State holds the state service's limits. Those of Next come some day, without
+		// notice; what Parse returns are the lower of both.
 		State struct {
 			RPS      float64 `toml:"rps"`
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			Next     struct {
+				RPS      *float64 `toml:"rps"`
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -135,6 +147,9 @@
 		}
 	}
 	s := &p.Settings
+	if err := p.takeNext(); err != nil {
+		return err
+	}
 	if s.Count != len(p.Siblings)+1 {
 		return fmt.Errorf("settings.count: %d, but node and siblings make %d", s.Count, len(p.Siblings)+1)
 	}
@@ -158,8 +173,11 @@
 	if share := s.Limits.CPUShare; !(share >= 0) || math.IsInf(share, 0) {
 		return fmt.Errorf("settings.limits.cpu_share: must not be negative, is %v", share)
 	}
-	if s.State.TxnOps < 4 {
-		return fmt.Errorf("settings.state.txn_ops: %d changes a transaction are too few, 4 are needed", s.State.TxnOps)
+	if s.State.TxnOps < leastTxnOps {
+		return fmt.Errorf("settings.state.txn_ops: %d changes a transaction are too few, %d are needed", s.State.TxnOps, leastTxnOps)
+	}
+	if s.Workers.GangWaitS < 0 || s.Workers.GangPeerS < 0 {
+		return errors.New("settings.workers.gang_wait_s, gang_peer_s: must not be negative")
 	}
 	if HoldTime(s.Workers.CancelS, s.Workers.LeaseS) <= 0 {
 		return fmt.Errorf("settings.workers.cancel_s: %v leaves no time beyond lease_s %v", s.Workers.CancelS, s.Workers.LeaseS)
@@ -180,6 +198,41 @@
 	return nil
 }
 
+// leastTxnOps and leastValueKB are the least that a dealing, and a job's record, need.
+const (
+	leastTxnOps  = 4
+	leastValueKB = 0.5
+)
+
+// takeNext has the lower of the present and the coming limits of the state service hold
+// from the start: the change comes without notice.
+func (p *Platform) takeNext() error {
+	s := &p.Settings.State
+	n := &s.Next
+	for _, x := range []struct {
+		field     string
+		next, now *float64
+		least     float64
+	}{
+		{"rps", n.RPS, &s.RPS, 0}, {"write_rps", n.WriteRPS, &s.WriteRPS, 0}, {"value_kb", n.ValueKB, &s.ValueKB, leastValueKB},
+	} {
+		if x.next == nil {
+			continue
+		}
+		if !(*x.next > 0 && *x.next >= x.least) || math.IsInf(*x.next, 0) {
+			return fmt.Errorf("settings.state.next.%s: %v can't be worked with", x.field, *x.next)
+		}
+		*x.now = min(*x.now, *x.next)
+	}
+	if n.TxnOps != nil {
+		if *n.TxnOps < leastTxnOps {
+			return fmt.Errorf("settings.state.next.txn_ops: %d changes a transaction are too few, %d are needed", *n.TxnOps, leastTxnOps)
+		}
+		s.TxnOps = min(s.TxnOps, *n.TxnOps)
+	}
+	return nil
+}
+
 // Nodes lists all controllers' names in order.
 func (p *Platform) Nodes() []string {
 	names := []string{p.Name}
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -99,6 +99,27 @@
 	})
 }
 
+// The state service's limits that are to come hold from the start where they are lower,
+// and one that can't be worked with is refused by its name.
+func TestNextLimits(t *testing.T) {
+	with := func(next string) (*Platform, error) {
+		return Parse([]byte(strings.Replace(good, "[settings.cloud]", "[settings.state.next]\n"+next+"\n[settings.cloud]", 1)))
+	}
+	p, err := with("write_rps = 42.0\nvalue_kb = 2.0\ntxn_ops = 10")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := p.Settings.State; s.RPS != 100 || s.WriteRPS != 40 || s.ValueKB != 2 || s.TxnOps != 10 {
+		t.Errorf("limits %+v", s)
+	}
+	for _, x := range []string{"rps = 0.0", "rps = -1.0", "write_rps = nan", "write_rps = inf", "value_kb = 0.1", "txn_ops = 3", "txn_ops = \"few\""} {
+		field, _, _ := strings.Cut(x, " ")
+		if _, err := with(x); err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", x, err)
+		}
+	}
+}
+
 func TestParseNeverPanics(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		at := rapid.IntRange(0, len(good)-1).Draw(t, "at")
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -266,6 +266,9 @@
 		return core.Want{}
 	}
 	own := lim.OwnRoom(j.need, room)
+	if spec.Gang && own < room {
+		own = 0 // one claim for all of it, and one record
+	}
 	claim := core.Claim{Level: spec.Priority, Own: own > 0, Team: j.team}
 	var chunks []groupValue
 	next := int32(dealt)
@@ -495,7 +498,7 @@
 	if spec.Whole() && n < len(r.entries) && r.bound() == 0 {
 		n = len(r.entries) // a group that has not started moves whole
 	}
-	if spec.Gang && r.bound() > 0 {
+	if spec.Gang && (r.bound() > 0 || len(r.job.recs) > 1) {
 		return false
 	}
 	perPart := make([]int, len(b.parts))
--- /dev/null
+++ b/internal/controller/gang.go
@@ -0,0 +1,133 @@
+package controller
+
+import (
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/wire"
+)
+
+// A gang's tasks run at the same time or none does. They find each other by the number
+// of their attempt, which is one for all of them and only rises. An attempt begins when
+// every task of the one before is proven gone, with cells for all of them. Until it has
+// run, a task that is lost is replaced under the same number; a gang that has run, or
+// that can't be completed any more, stops whole and starts whole.
+
+// gangAttempt is the present attempt of a gang, and whether any task of it may still be
+// on a machine. Without one the next binding is a new attempt.
+func (b *brain) gangAttempt(j *job) (attempt uint64, there bool) {
+	for _, r := range j.recs {
+		for i := range r.entries {
+			e := &r.entries[i]
+			attempt = max(attempt, e.attempt)
+			there = there || e.m != nil
+		}
+	}
+	return attempt, there
+}
+
+// missing counts the members of a gang's present attempt that are gone.
+func (b *brain) missing(j *job, attempt uint64) int {
+	n := 0
+	for _, r := range j.recs {
+		for i := range r.entries {
+			e := &r.entries[i]
+			o, ended := b.outcomes[r.task(e.num)]
+			if e.m == nil && e.attempt == attempt || e.m != nil && ended && o.attempt == e.attempt && !o.done {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// broken tells whether a gang has lost a member of an attempt that has run, or can't be
+// completed: the others stop, and the gang starts whole again.
+func (b *brain) broken(j *job) bool {
+	attempt, there := b.gangAttempt(j)
+	if !there || attempt == 0 || j.ran != attempt && j.spoilt != attempt {
+		return false
+	}
+	return j.spoilt == attempt || b.missing(j, attempt) > 0
+}
+
+// gangStops tells whether a gang is to be stopped: one of its tasks has to go.
+func (b *brain) gangStops(j *job) bool {
+	if j.fate != live {
+		return true
+	}
+	for _, r := range j.recs {
+		p := b.parts[r.part]
+		for i := range r.entries {
+			if m := r.entries[i].m; m != nil && b.mustLeave(r, r.task(r.entries[i].num), m, p) {
+				return true
+			}
+		}
+	}
+	return b.broken(j)
+}
+
+// tellGangs has gangs that are to be stopped hear it at once, on all their machines: an
+// orderly stop has to reach every task within gang_peer_s of the first, and what runs on
+// without the others is of no use.
+func (b *brain) tellGangs(p *part) {
+	for _, r := range p.recs {
+		j := r.job
+		if r.placed == 0 || j.spec == nil || !j.spec.Gang || j.fate != live {
+			continue
+		}
+		attempt, _ := b.gangAttempt(j)
+		if j.told == attempt || !b.gangStops(j) {
+			continue
+		}
+		j.told = attempt
+		b.log.Debug("gang is stopped", "job", j.id, "attempt", attempt, "broken", b.broken(j))
+		for _, o := range j.recs {
+			for i := range o.entries {
+				if m := o.entries[i].m; m != nil {
+					b.kick(m)
+				}
+			}
+		}
+	}
+}
+
+// gangSeen learns from the state of a gang's task. After a take-over the reports are all
+// there is to tell whether an attempt has run.
+func (j *job) gangSeen(t *wire.TaskReport) {
+	switch t.State {
+	case wire.Running, wire.Saving:
+		j.ran = max(j.ran, t.Attempt)
+	case wire.Exited:
+		switch t.Why {
+		case wire.WhyDone:
+			j.finished = true // they complete together
+		case wire.WhyAlone, wire.WhyError:
+			j.spoilt = max(j.spoilt, t.Attempt)
+		case wire.WhyPeers:
+			j.ran = max(j.ran, t.Attempt)
+		}
+	}
+}
+
+// grace is what a task is given to save when it is stopped: what it asks for, unless
+// there is nothing to save. A gang saves together or not at all.
+func (b *brain) grace(j *job) float64 {
+	if j.fate != live || j.spec == nil || j.spec.CheckS == 0 || j.spec.Gang && b.broken(j) {
+		return 0
+	}
+	return j.spec.SaveS
+}
+
+// placeGang asks for cells for a gang: for all of its tasks, or for those that were lost
+// before it ran, which complete the attempt that waits for them.
+func (b *brain) placeGang(p *part, r *rec, pending []core.Task, request func(...core.Task) bool) {
+	j := r.job
+	for _, o := range j.recs {
+		if o.part != p.n || o.writing {
+			return // a group is reserved in one part
+		}
+	}
+	if attempt, there := b.gangAttempt(j); there && (j.ran == attempt || j.spoilt == attempt || j.told == attempt) || j.finished {
+		return // it starts again when all are back
+	}
+	request(pending...)
+}
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -117,6 +117,9 @@
 	return false
 }
 
+// keepAfter is how long a group waits for whole room before machines are kept for it.
+const keepAfter = 8 * time.Second
+
 // borrow takes machines from other parts for a whole group of n tasks. It
 // reports whether they are on their way.
 func (b *brain) borrow(hosts []*core.Host, j *job, zone string, n int, c core.Claim) bool {
@@ -133,12 +136,17 @@
 	if coming >= n {
 		return true
 	}
+	// Among endless work of its own priority a group would never find whole room: what
+	// comes free is taken one cell at a time. One that has waited has machines kept for
+	// it on which nothing is that stays, until they are empty (the paper leaves room for
+	// "reservation during waiting").
+	keep := b.now.Sub(j.at) > keepAfter
 	var can []*core.Host
 	for _, h := range hosts {
 		if h.Booting || h.Part == b.lentPart() || h.Touched || !allowed(j.spec, zone, h.Type, h.Zone, h.Spot) {
 			continue
 		}
-		if !slices.ContainsFunc(h.Claims, func(x core.HeldCell) bool { return !c.Evicts(x.Claim) }) {
+		if keep && !h.Pinned || !slices.ContainsFunc(h.Claims, func(x core.HeldCell) bool { return !c.Evicts(x.Claim) }) {
 			can = append(can, h)
 		}
 	}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -331,7 +331,10 @@
 			continue
 		}
 		shown.add(r.task(e.num))
-		if j.spec != nil && (t.State == wire.Running || t.State == wire.Saving) && j.spec.Image != "" {
+		if j.spec != nil && j.spec.Gang {
+			j.gangSeen(t)
+		}
+		if j.spec != nil && (t.State == wire.Running || t.State == wire.Gathering || t.State == wire.Saving) && j.spec.Image != "" {
 			m.images[j.spec.Image] = true
 			delete(m.fetching, j.spec.Image)
 		}
@@ -513,15 +516,17 @@
 
 // wantStop tells whether a bound task should not be there.
 func (b *brain) wantStop(r *rec, t core.Task, m *machine, p *part) bool {
-	if r.job.fate != live {
-		return true
+	if r.job.spec != nil && r.job.spec.Gang {
+		return b.gangStops(r.job)
 	}
+	return r.job.fate != live || b.mustLeave(r, t, m, p)
+}
+
+// mustLeave tells whether a task has to leave its machine.
+func (b *brain) mustLeave(r *rec, t core.Task, m *machine, p *part) bool {
 	if c := p.cells.CellOf(t); c != nil && c.State == core.Reserving || r.excess(t.Num) {
 		return true
 	}
-	if r.job.spec != nil && r.job.spec.Gang && b.broken(r) {
-		return true
-	}
 	if l := b.lends[m.name]; l != nil && !l.Ack && l.claim(b).Evicts(r.claim()) {
 		return true
 	}
@@ -529,24 +534,6 @@
 	return !m.notice.IsZero() && r.job.spec != nil && r.job.spec.CheckS > 0 || m.suspect
 }
 
-// broken tells whether a gang has lost a member that is not done: the others
-// stop, and the gang starts whole again.
-func (b *brain) broken(r *rec) bool {
-	for _, o := range r.job.recs {
-		for i := range o.entries {
-			e := &o.entries[i]
-			if e.m == nil {
-				if e.attempt > 0 {
-					return true
-				}
-			} else if x, ok := b.outcomes[o.task(e.num)]; ok && x.attempt == e.attempt && !x.done {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // commands are what a machine should do, by its newest report.
 func (b *brain) commands(m *machine, p *part) []wire.Command {
 	var stops, starts []wire.Command
@@ -573,10 +560,7 @@
 		if t.State == wire.Exited || !b.wantStop(r, r.task(e.num), m, p) {
 			continue
 		}
-		grace := 0.0
-		if r.job.fate == live && r.job.spec != nil && r.job.spec.CheckS > 0 {
-			grace = r.job.spec.SaveS
-		}
+		grace := b.grace(r.job)
 		if t.State != wire.Saving || grace == 0 {
 			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
 		}
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -452,7 +452,7 @@
 // newJob submits a job of some kind.
 func (s *scene) newJob() {
 	s.mu.Lock()
-	k := s.rng.IntN(6)
+	k := s.rng.IntN(8)
 	body := jobBody("", wire.Array, []string{"red", "blue"}[s.rng.IntN(2)], []string{"low", "normal"}[s.rng.IntN(2)], 2+s.rng.IntN(12), 1, 2+float64(s.rng.IntN(12)))
 	switch k {
 	case 0:
@@ -465,6 +465,9 @@
 		body["moultS"], body["stowS"] = 5, 2
 	case 4:
 		body["eggs"], body["reckonS"] = 2+s.rng.IntN(2), 30
+	case 5, 6:
+		body["shape"], body["eggs"], body["moultS"], body["stowS"] = wire.Gang, 2+s.rng.IntN(4), 4, 1.5
+		body["samePlace"], body["imageGb"] = k == 5, float64(1+s.rng.IntN(5))
 	}
 	s.mu.Unlock()
 	s.submitJob(body)
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -57,6 +57,7 @@
 			b.store(p, r)
 		}
 	}
+	b.tellGangs(p)
 	b.acknowledge(p)
 	if p.raise {
 		b.raiseTerm(p)
@@ -136,9 +137,6 @@
 			more, otherBusy, otherStarted := b.pending(p, o)
 			pending, busy, started = append(pending, more...), busy || otherBusy, started || otherStarted
 		}
-		if spec.Gang && busy {
-			return // a gang that lost a member starts again when all are back
-		}
 	}
 	score := b.scorer(p, r)
 	// An array's tasks wait a little before they stop others: cells come
@@ -175,7 +173,11 @@
 		}
 		return g.State != core.Pending
 	}
-	if spec.Gang || spec.Service && !started {
+	if spec.Gang {
+		b.placeGang(p, r, pending, request)
+		return
+	}
+	if spec.Service && !started {
 		request(pending...)
 		return
 	}
@@ -360,8 +362,29 @@
 	var ended []used
 	var bound []core.Task
 	pending := 0 // tasks that have no cell yet
+	job := r.job
+	attempt := uint64(0) // of a gang's next bindings
+	if job.spec.Gang {
+		var there bool
+		if attempt, there = b.gangAttempt(job); !there {
+			attempt++
+			for i := range r.entries {
+				if _, ok := p.alloc[r.task(r.entries[i].num)]; !ok {
+					attempt = 0 // not before all have cells
+				}
+			}
+		}
+	}
 	for _, e := range r.entries {
 		t := r.task(e.num)
+		if job.spec.Gang && job.finished && job.fate == live {
+			doneN++ // one is, and so all are
+			changed = true
+			if o, ok := b.outcomes[t]; ok {
+				ended = append(ended, used{t, o})
+			}
+			continue
+		}
 		if o, ok := b.outcomes[t]; ok && e.m != nil && o.attempt == e.attempt {
 			ended = append(ended, used{t, o})
 			changed = true
@@ -371,13 +394,16 @@
 			}
 			e.m, e.session = nil, 0
 		}
-		if a, ok := p.alloc[t]; ok && e.m == nil && r.job.fate == live {
+		if a, ok := p.alloc[t]; ok && e.m == nil && r.job.fate == live && (!job.spec.Gang || attempt > 0) {
 			if a.m.gone || !b.up(a.m, p) {
 				delete(p.alloc, t)
 				b.freeCell(p, t)
 			} else {
 				e.m, e.session = a.m, a.m.session
 				e.attempt++
+				if job.spec.Gang {
+					e.attempt = attempt
+				}
 				bound = append(bound, t)
 				changed = true
 			}
@@ -392,7 +418,6 @@
 		r.endedAt, r.boundAt = time.Time{}, time.Time{}
 		return
 	}
-	job := r.job
 	if len(bound) > 0 && pending > 0 && !job.spec.Whole() {
 		if r.boundAt.IsZero() {
 			r.boundAt = b.now
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -119,6 +119,11 @@
 	ending   bool            // a write of the fate is in flight
 	failedOn map[string]bool // machines on which tasks of it failed
 	retryAt  time.Time       // nothing of it is placed before then
+
+	// Of a gang: the last attempt that was seen to run, that can't be completed, that
+	// was told to stop; and whether a task of it, and so all, got done.
+	ran, spoilt, told uint64
+	finished          bool
 }
 
 // newRec is the number of a record that the job has never had.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -74,6 +74,7 @@
 			s.Count, s.Zones = 3, []string{"a", "b"}
 			s.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 24}, {Name: "blue"}}
 			s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = w.ReportS, w.LeaseS, w.CancelS
+			s.Workers.GangWaitS, s.Workers.GangPeerS = w.GangWaitS, w.GangPeerS
 			s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 250, 60, 8, 32
 			s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
 			c.nodes = append(c.nodes, &node{cfg: cfg, net: w.Net()})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -92,6 +92,9 @@
 	for _, t := range k.tasks {
 		if t.state != wire.Exited {
 			k.w.off(k, t, at)
+			if t.spec.Gang {
+				k.w.leave(t)
+			}
 		}
 	}
 	k.tasks = map[string]*workerTask{}
@@ -266,8 +269,16 @@
 		if t.state == wire.Fetching && now.Sub(t.from) >= time.Duration(t.spec.ImageGB*float64(time.Second)) {
 			t.state, t.from = wire.Running, now
 			k.w.on(k, t)
+			if t.spec.Gang {
+				t.state = wire.Gathering
+				k.w.gather(t)
+			}
 			k.changed()
 		}
+		if t.spec.Gang {
+			k.advanceGang(t)
+			continue
+		}
 		if t.state == wire.Running && !t.spec.Service && now.Sub(t.from) >= time.Duration(t.spec.EstimateS*float64(time.Second)) {
 			why := wire.WhyDone
 			if k.sick {
@@ -281,8 +292,29 @@
 	}
 }
 
+// advanceGang moves a gang's task on; called with the lock held.
+func (k *Worker) advanceGang(t *workerTask) {
+	if t.state == wire.Fetching || t.state == wire.Exited {
+		return
+	}
+	state, why := k.w.next(t)
+	if state == wire.Running && k.sick {
+		state, why = wire.Exited, wire.WhyError
+	}
+	switch {
+	case state == wire.Exited:
+		k.exit(t, why)
+	case state != t.state && t.state == wire.Gathering:
+		t.state = state
+		k.changed()
+	}
+}
+
 func (k *Worker) exit(t *workerTask, why string) {
 	k.w.off(k, t, time.Now())
+	if t.spec.Gang {
+		k.w.leave(t)
+	}
 	t.state, t.why, t.from = wire.Exited, why, time.Now()
 	if why == wire.WhyDone {
 		k.w.finished(t)
@@ -406,7 +438,7 @@
 				grace = *c.GraceS
 			}
 			switch {
-			case t.state == wire.Running && t.spec.CheckS > 0 && grace >= t.spec.SaveS:
+			case t.state == wire.Running && t.spec.CheckS > 0 && grace >= t.spec.SaveS && (!t.spec.Gang || k.w.tell(t)):
 				t.state, t.from = wire.Saving, time.Now()
 				k.changed()
 			case t.state != wire.Saving || grace == 0:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -20,7 +20,7 @@
 
 // World is a network of stand-ins, with a referee who watches the rules.
 type World struct {
-	ReportS, LeaseS, CancelS float64
+	ReportS, LeaseS, CancelS, GangWaitS, GangPeerS float64
 
 	ctx   context.Context
 	names []string
@@ -40,13 +40,15 @@
 	trace    []Event
 	quiet    time.Time
 	starts   int
+	gangs    map[string]*gang
+	progress map[string]time.Duration // of gangs, saved
 }
 
 // NewWorld returns a world whose controllers have the given names and addresses.
 func NewWorld(ctx context.Context, names, addrs []string, types []wire.MachineType) *World {
-	w := &World{ReportS: 1, LeaseS: 10, CancelS: 35, ctx: ctx, names: names, nodes: addrs, State: NewState(),
+	w := &World{ReportS: 1, LeaseS: 10, CancelS: 35, GangWaitS: 12, GangPeerS: 4, ctx: ctx, names: names, nodes: addrs, State: NewState(),
 		handlers: map[string]http.Handler{}, specs: map[string]*wire.Job{}, running: map[string]*Worker{},
-		done: map[string]map[string]bool{}, limits: map[string]core.Res{}}
+		done: map[string]map[string]bool{}, gangs: map[string]*gang{}, progress: map[string]time.Duration{}, limits: map[string]core.Res{}}
 	w.net = w.Net()
 	w.Cloud = &Cloud{world: w, types: types, answered: map[string][]string{}, capacity: 20}
 	w.serve("state:1", w.State)
@@ -168,12 +170,16 @@
 func (w *World) finished(t *workerTask) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	id := jobOf(t.name)
+	w.finishedLocked(t.name)
+}
+
+func (w *World) finishedLocked(task string) {
+	id := jobOf(task)
 	if w.done[id] == nil {
 		w.done[id] = map[string]bool{}
 	}
-	w.done[id][t.name] = true
-	w.saw(Event{Kind: TaskDone, Task: t.name})
+	w.done[id][task] = true
+	w.saw(Event{Kind: TaskDone, Task: task})
 }
 
 // Fate of a message.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,9 +17,10 @@
 	Done      = "done"
 	Cancelled = "withdrawn"
 
-	Fetching = "fetching"
-	Saving   = "flushing"
-	Exited   = "ended"
+	Fetching  = "fetching"
+	Gathering = "gathering" // a gang's task that waits for the others
+	Saving    = "flushing"
+	Exited    = "ended"
 
 	WhyDone    = "done"
 	WhyStopped = "halted"
@@ -27,6 +28,9 @@
 	WhyNoRoom  = "no_room"
 	WhyBusy    = "in_use"
 	WhyUnknown = "no_such"
+	// Of a gang's tasks: another is gone; not all came in time.
+	WhyPeers = "mates_gone"
+	WhyAlone = "incomplete"
 
 	OpStart  = "start"
 	OpStop   = "stop"
