--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -134,7 +134,7 @@
 		zone = b.pinned(j)
 	}
 	can := func(h *core.Host) bool {
-		return !h.Booting && (h.Part != b.lentPart() || b.lentFor(j)) && allowed(j.spec, zone, h.Type, h.Zone, h.Spot)
+		return !h.Booting && (h.Part != b.lentPart() || b.mayUsePool(j)) && allowed(j.spec, zone, h.Type, h.Zone, h.Spot)
 	}
 	for _, h := range hosts {
 		if can(h) && h.Free.Holds(j.need) {
@@ -293,7 +293,13 @@
 	// the limit against others of the team, and would have to be held back again.
 	tight := lim.Room(j.need, left+core.LeastDealt*len(b.parts)) < left+core.LeastDealt*len(b.parts)
 	got := 0
-	for _, zone := range b.zonesFor(j, hosts) {
+	// What is kept for gangs is for more urgent work only if there is nothing else.
+	zones := b.zonesFor(j, hosts)
+	pooled := len(zones)
+	if b.outranksPool(j) {
+		zones = slices.Concat(zones, zones)
+	}
+	for i, zone := range zones {
 		n := room - got
 		if spec.Spread {
 			n = min(n, b.spreadRoom(j, zone, chunks))
@@ -302,7 +308,7 @@
 			continue
 		}
 		can := func(h *core.Host) bool {
-			return !h.Booting && (h.Part != b.lentPart() || b.lentFor(j)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
+			return !h.Booting && (h.Part != b.lentPart() || i >= pooled || b.mayUsePool(j)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
 		}
 		d := core.Dealing{Need: j.need, Count: n, Claim: claim, Can: can, Tight: tight, Must: must}
 		if spec.Whole() {
@@ -331,7 +337,14 @@
 			break
 		}
 	}
-	if most := b.cfg.Settings.State.TxnOps / 2; len(chunks) > most {
+	most := b.cfg.Settings.State.TxnOps / 2
+	if spec.Gang {
+		most *= 2
+		if len(chunks) > most {
+			return core.Want{} // larger than one change can be: it is not begun in part
+		}
+	}
+	if len(chunks) > most {
 		for _, g := range chunks[most:] {
 			got -= len(g.Tasks)
 		}
@@ -503,7 +516,7 @@
 	}
 	perPart := make([]int, len(b.parts))
 	can := func(h *core.Host) bool {
-		return !h.Booting && h.Part != r.part && h.Part != b.lentPart() && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
+		return !h.Booting && h.Part != r.part && (h.Part != b.lentPart() || b.now.Sub(r.since) > poolYields) && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
 	}
 	trial := core.Clone(hosts)
 	for h, k := range core.Take(trial, can, r.job.need, n) {
--- a/internal/controller/gang.go
+++ b/internal/controller/gang.go
@@ -55,9 +55,12 @@
 		return true
 	}
 	for _, r := range j.recs {
-		p := b.parts[r.part]
 		for i := range r.entries {
-			if m := r.entries[i].m; m != nil && b.mustLeave(r, r.task(r.entries[i].num), m, p) {
+			m := r.entries[i].m
+			if m == nil || b.parts[m.home].term == 0 {
+				continue // nowhere, or another's to say
+			}
+			if b.mustLeave(r, r.task(r.entries[i].num), m, b.parts[m.home]) {
 				return true
 			}
 		}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -33,6 +33,7 @@
 	clearing  bool // of gone markers
 	listed    bool // the list has been read since the lead was taken
 	typesAt   time.Time
+	pool      pool
 	// since when most of a zone's machines are out of reach, see cutZones
 	quietZones map[string]time.Time
 	cut        map[string]bool
@@ -70,7 +71,12 @@
 		return
 	}
 	b.logFleet(hosts)
+	b.notePool(hosts)
 	b.tendLends(hosts)
+	b.fillPool(hosts)
+	if b.lead.writes > 0 {
+		return
+	}
 	wants := b.deal(hosts)
 	b.provision(hosts, wants)
 }
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -143,7 +143,7 @@
 	keep := b.now.Sub(j.at) > keepAfter
 	var can []*core.Host
 	for _, h := range hosts {
-		if h.Booting || h.Part == b.lentPart() || h.Touched || !allowed(j.spec, zone, h.Type, h.Zone, h.Spot) {
+		if h.Booting || h.Part == b.lentPart() || h.Touched || b.lead.closing[b.byIdx[h.ID].name] || !allowed(j.spec, zone, h.Type, h.Zone, h.Spot) {
 			continue
 		}
 		if keep && !h.Pinned || !slices.ContainsFunc(h.Claims, func(x core.HeldCell) bool { return !c.Evicts(x.Claim) }) {
@@ -164,8 +164,15 @@
 	if coming < n || len(chosen) == 0 || len(chosen) > b.cfg.Settings.State.TxnOps {
 		return false
 	}
-	term, epoch := b.lead.term, b.lead.epoch
-	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	b.log.Info("machines are borrowed for a group", "job", j.id, "machines", len(chosen))
+	b.borrowMachines(chosen, []wire.Condition{{Key: jobKey(j.id), Version: j.stamp}}, lendValue{Job: j.id, Level: c.Level, Own: c.Own, Team: j.spec.Team})
+	return true
+}
+
+// borrowMachines lends machines to the leader's part, if the parts that they are in have
+// not changed hands meanwhile.
+func (b *brain) borrowMachines(chosen []*core.Host, cond []wire.Condition, v lendValue) {
+	u := &store.Unit{Early: true, If: append([]wire.Condition{{Key: keyLeader, Version: b.lead.term}}, cond...)}
 	parts := map[int]bool{}
 	for _, h := range chosen {
 		h.Touched, h.Free = true, core.Res{}
@@ -175,12 +182,11 @@
 			parts[h.Part] = true
 			u.If = append(u.If, wire.Condition{Key: b.parts[h.Part].key, Version: b.vers[b.parts[h.Part].key]})
 		}
-		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(lendValue{Job: j.id, Level: c.Level, Own: c.Own, Team: j.spec.Team})})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(v)})
 	}
-	b.log.Info("machines are borrowed for a group", "job", j.id, "machines", len(chosen))
 	b.lead.writes++
+	epoch := b.lead.epoch
 	b.write(u, func(err error) { b.leadWrote(epoch, err) })
-	return true
 }
 
 // tendLends fences machines that came in and hands back those that are not
@@ -195,6 +201,13 @@
 		if l.writing || l.Ack && len(m.bound) > 0 && !m.gone {
 			continue
 		}
+		if l.Job == poolJob {
+			if l.Ack && b.poolKeeps(m) || !l.Ack && b.now.Sub(l.since) < poolPatience {
+				continue
+			}
+			b.handBack(name, l)
+			continue
+		}
 		j := b.jobs[l.Job]
 		needed := j != nil && j.fate == live && j.spec != nil && !m.gone
 		if needed {
@@ -214,11 +227,15 @@
 		if needed && waits {
 			continue
 		}
-		l.writing = true
-		term := b.lead.term
-		b.write(&store.Unit{
-			If:   []wire.Condition{{Key: keyLeader, Version: term}, {Key: preLend + name, Version: l.stamp}},
-			Then: []wire.Change{{Delete: preLend + name}},
-		}, func(error) { l.writing = false })
+		b.handBack(name, l)
 	}
 }
+
+// handBack ends a lending.
+func (b *brain) handBack(name string, l *lend) {
+	l.writing = true
+	b.write(&store.Unit{
+		If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: preLend + name, Version: l.stamp}},
+		Then: []wire.Change{{Delete: preLend + name}},
+	}, func(error) { l.writing = false })
+}
--- /dev/null
+++ b/internal/controller/pool.go
@@ -0,0 +1,218 @@
+package controller
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/wire"
+)
+
+// Gangs need room for all of their tasks in one part, and often in one zone, within
+// seconds, among arrays that take every cell as it comes free and that a gang of their
+// priority must not stop. So the leader keeps a few machines in its own part, by the
+// lending that groups across parts have anyway: room for one gang of each class, as large
+// as the largest of late. Only gangs are dealt there.
+
+// poolJob stands for the pool where a lending names the job that it is for.
+const poolJob = ""
+
+const (
+	// poolForgets is how long a class of gangs is reckoned with after its last one.
+	poolForgets = 30 * time.Second
+	// poolPatience is how long a machine may take to come empty.
+	poolPatience = 40 * time.Second
+	// poolSettles is how long one that has come is kept in any case.
+	poolSettles = 10 * time.Second
+	// poolYields is how long others wait before they may use it all the same: nobody
+	// should wait much longer beside a machine that has room.
+	poolYields = time.Minute
+	// poolShare is the largest part of all machines that the pool may be.
+	poolShare = 0.15
+)
+
+// pool is what the leader keeps for gangs.
+type pool struct {
+	classes map[string]*gangClass
+	// missing is what it lacks, to be rented if nothing comes free.
+	missing []core.Want
+	keep    map[int32]bool // machines of it that are wanted
+}
+
+// gangClass is the largest gang of a class of late.
+type gangClass struct {
+	spec *wire.Job
+	need core.Res
+	seen time.Time
+}
+
+// mayUsePool tells whether a job may be placed on machines that the leader has in its
+// own part: those that are there for it, and gangs; others only after a long wait.
+func (b *brain) mayUsePool(j *job) bool {
+	since := j.at
+	if j.dealtAt.After(since) {
+		since = j.dealtAt
+	}
+	return j.spec.Gang || b.lentFor(j) || b.now.Sub(since) > poolYields && b.now.Sub(b.lead.since) > poolYields
+}
+
+// outranksPool tells whether a job goes before gangs.
+func (b *brain) outranksPool(j *job) bool {
+	for _, c := range b.lead.pool.classes {
+		if j.spec.Priority > c.spec.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// notePool notes which gangs there are, and which machines of the pool are wanted.
+func (b *brain) notePool(hosts []*core.Host) {
+	p := &b.lead.pool
+	if p.classes == nil {
+		p.classes = map[string]*gangClass{}
+	}
+	for _, j := range b.atHand {
+		if j.spec == nil || !j.spec.Gang || j.fate != live {
+			continue
+		}
+		c := p.classes[j.spec.Class]
+		if c == nil || c.spec.Tasks <= j.spec.Tasks {
+			c = &gangClass{spec: j.spec, need: j.need}
+			p.classes[j.spec.Class] = c
+		}
+		c.seen = b.now
+	}
+	for name, c := range p.classes {
+		if b.now.Sub(c.seen) > poolForgets {
+			delete(p.classes, name)
+		}
+	}
+	p.keep = map[int32]bool{}
+	// Room for one gang of each class, machine by machine, the fullest first, so that
+	// the others come free. Twice as much is kept as would be borrowed, or machines
+	// would go to and fro.
+	ours := slices.DeleteFunc(slices.Clone(hosts), func(h *core.Host) bool { return h.Part != b.lentPart() })
+	slices.SortFunc(ours, func(x, y *core.Host) int {
+		return cmp.Or(cmp.Compare(len(y.Claims), len(x.Claims)), cmp.Compare(x.ID, y.ID))
+	})
+	for _, c := range p.sorted() {
+		n := 2 * c.spec.Tasks
+		for _, h := range ours {
+			if n <= 0 {
+				break
+			}
+			if allowed(c.spec, "", h.Type, h.Zone, h.Spot) {
+				n -= h.Free.Fits(c.need, n)
+				p.keep[h.ID] = true
+			}
+		}
+	}
+}
+
+// sorted are the classes, the largest gangs first.
+func (p *pool) sorted() []*gangClass {
+	var out []*gangClass
+	for _, c := range p.classes {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(x, y *gangClass) int {
+		return cmp.Or(cmp.Compare(y.spec.Tasks, x.spec.Tasks), cmp.Compare(x.spec.Class, y.spec.Class))
+	})
+	return out
+}
+
+// poolKeeps tells whether a machine of the pool stays there.
+func (b *brain) poolKeeps(m *machine) bool {
+	return len(m.bound) > 0 || b.lead.pool.keep[m.idx] || b.now.Sub(m.homeAt) < poolSettles
+}
+
+// fillPool borrows machines for the pool while it lacks room: empty ones, or such as
+// will come empty soon.
+func (b *brain) fillPool(hosts []*core.Host) {
+	p := &b.lead.pool
+	p.missing = nil
+	if len(p.classes) == 0 {
+		return
+	}
+	lent := len(b.lends)
+	most := max(2, int(poolShare*float64(len(hosts))))
+	room := core.Clone(hosts) // what is left of it after the classes before
+	var chosen []*core.Host
+	for _, c := range p.sorted() {
+		spec := c.spec
+		n := spec.Tasks
+		zone := b.poolZone(room, c)
+		fits := func(h *core.Host) bool {
+			return !h.Booting && allowed(spec, zone, h.Type, h.Zone, h.Spot)
+		}
+		for _, h := range room {
+			if h.Part == b.lentPart() && fits(h) {
+				k := h.Free.Fits(c.need, n)
+				h.Free = h.Free.Minus(c.need.Times(k))
+				n -= k
+			}
+		}
+		for name, l := range b.lends { // on their way
+			m := b.machine(name)
+			if t := b.types[m.typ]; l.Job == poolJob && !l.Ack && t != nil && allowed(spec, zone, m.typ, m.zone, m.spot) {
+				n -= core.Amount(t.CPUs, t.GPUs, t.RAM).Fits(c.need, spec.Tasks)
+			}
+		}
+		if n <= 0 {
+			continue
+		}
+		p.missing = append(p.missing, core.Want{Class: spec.Class, Need: c.need, Count: n, Service: true, Estimate: spec.EstimateS, Slack: math.Inf(1),
+			Allows: func(typ, zoneOf string, spot bool) bool { return allowed(spec, zone, typ, zoneOf, spot) }})
+		var can []*core.Host
+		for _, h := range room {
+			if fits(h) && h.Part != b.lentPart() && !h.Touched && !h.Pinned && !b.lead.closing[b.byIdx[h.ID].name] {
+				can = append(can, h)
+			}
+		}
+		slices.SortFunc(can, func(x, y *core.Host) int {
+			return cmp.Or(cmp.Compare(len(x.Claims), len(y.Claims)), cmp.Compare(y.Size.Fits(c.need, n), x.Size.Fits(c.need, n)), cmp.Compare(x.ID, y.ID))
+		})
+		for _, h := range can {
+			if n <= 0 || lent+len(chosen) >= most {
+				break
+			}
+			n -= h.Size.Fits(c.need, n)
+			h.Touched = true
+			chosen = append(chosen, h)
+		}
+	}
+	if len(chosen) == 0 {
+		return
+	}
+	chosen = chosen[:min(len(chosen), b.cfg.Settings.State.TxnOps/2)]
+	b.log.Debug("machines are kept for gangs", "machines", len(chosen))
+	b.borrowMachines(chosen, nil, lendValue{Job: poolJob})
+}
+
+// poolZone is the zone in which the pool has the most room for a gang that must be in
+// one; "" for any.
+func (b *brain) poolZone(hosts []*core.Host, c *gangClass) string {
+	if !c.spec.OneZone {
+		return ""
+	}
+	room, all := map[string]int{}, map[string]int{}
+	for _, h := range hosts {
+		if h.Booting || !allowed(c.spec, "", h.Type, h.Zone, h.Spot) {
+			continue
+		}
+		all[h.Zone]++
+		if h.Part == b.lentPart() {
+			room[h.Zone] += h.Free.Fits(c.need, c.spec.Tasks)
+		}
+	}
+	best := ""
+	for z := range all {
+		if best == "" || room[z] > room[best] || room[z] == room[best] && (all[z] > all[best] || all[z] == all[best] && z < best) {
+			best = z
+		}
+	}
+	return best
+}
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -36,6 +36,9 @@
 	for _, w := range wants {
 		plan.Serve(w)
 	}
+	for _, w := range b.lead.pool.missing {
+		plan.Serve(w)
+	}
 	short := plan.Unmet
 	spare, level := b.headroom()
 	core.FreeBelow(plan.All, level)
