Lower limits: records and descriptions fit what is allowed, large ones are split when written again

A 400 for size is told apart from an ended lease and not repeated as it is. 72 instead of 96 bytes are reckoned for an entry, since what gets larger is split: 26 tasks a record at 2 KB.

--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -289,7 +289,7 @@
 	case strings.HasPrefix(key, preGroup):
 		var v groupValue
 		if err = wire.Decode(raw, &v); err == nil {
-			b.putGroup(key, &v, stamp)
+			b.putGroup(key, &v, stamp, len(raw))
 		}
 	case strings.HasPrefix(key, preJob):
 		var v jobValue
@@ -492,7 +492,7 @@
 	return id, k, ok && err == nil
 }
 
-func (b *brain) putGroup(key string, v *groupValue, stamp uint64) {
+func (b *brain) putGroup(key string, v *groupValue, stamp uint64, size int) {
 	id, k, ok := splitGroupKey(key)
 	if !ok {
 		b.log.Error("stored key is malformed; it is left alone", "key", key)
@@ -531,6 +531,7 @@
 	}
 	b.unlinkGroup(r)
 	b.file(r, v.Part)
+	r.size = size
 	r.stamp, r.part, r.zone, r.own, r.done, r.cap = stamp, v.Part, v.Zone, v.Own, v.Done, v.Cap
 	r.entries = make([]entry, 0, len(v.Tasks))
 	placed := 0
--- /dev/null
+++ b/internal/controller/limits_test.go
@@ -0,0 +1,123 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/wire"
+
+	"pgregory.net/rapid"
+)
+
+// A record is written in pieces that fit, which have all of its tasks, no more of which
+// may run than before, and each binding.
+func TestRecordsFitTheLimit(t *testing.T) {
+	b := lone(t)
+	rapid.Check(t, func(t *rapid.T) {
+		b.cfg.Settings.State.ValueKB = rapid.Float64Range(0.5, 8).Draw(t, "value_kb")
+		r := &rec{key: "x", done: rapid.IntRange(0, 50).Draw(t, "done")}
+		n := rapid.IntRange(1, 128).Draw(t, "tasks")
+		bound := 0
+		for i := range n {
+			e := entry{num: int32(i * 700), attempt: 3}
+			if rapid.Bool().Draw(t, "bound") {
+				e.m = &machine{name: fmt.Sprint("host-", i, strings.Repeat("0", rapid.IntRange(1, 40).Draw(t, "name"))), addr: "10.1.200.200:9000"}
+				e.session = 12
+				bound++
+			}
+			r.entries = append(r.entries, e)
+		}
+		if rapid.Bool().Draw(t, "capped") {
+			r.cap = 1 + rapid.IntRange(bound, n).Draw(t, "may")
+		}
+		before := r.may()
+		tasks, may, done, there := 0, 0, 0, 0
+		for _, piece := range b.fit(r, r.done, r.entries) {
+			if len(piece) > b.maxValue() {
+				t.Fatalf("%d bytes of %d", len(piece), b.maxValue())
+			}
+			var v groupValue
+			if err := json.Unmarshal(piece, &v); err != nil {
+				t.Fatal(err)
+			}
+			x := rec{cap: v.Cap}
+			for _, e := range v.Tasks {
+				x.entries = append(x.entries, entry{num: e.Num})
+				if e.Machine != "" {
+					there++
+				}
+			}
+			tasks, may, done = tasks+len(v.Tasks), may+x.may(), done+v.Done
+		}
+		if tasks != n || may != before || done != r.done || there != bound {
+			t.Fatalf("%d of %d tasks, %d of %d may run, %d of %d done, %d of %d bound", tasks, n, may, before, done, r.done, there, bound)
+		}
+	})
+}
+
+// The state service lowers its limits while there are records that were written under
+// the former ones: they are read, split when they are written again, and nothing beyond
+// the new limits is ever sent, let alone again and again.
+func TestLowerLimitsOverLargeRecords(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.world.Cloud.SetCapacity(6)
+		c.submit(jobBody("wk-1", wire.Array, "blue", "low", 400, 1, 4))
+		c.submit(jobBody("wk-2", wire.Array, "red", "normal", 60, 2, 4))
+		c.await("it runs", time.Minute, func() bool { return c.world.Finished("wk-1") > 20 })
+		for i := range c.nodes {
+			c.kill(i)
+		}
+		large := c.world.State.Larger(1 << 10)
+		c.world.State.SetLimits(1<<10, 10)
+		for i, n := range c.nodes {
+			n.cfg.Settings.State.ValueKB, n.cfg.Settings.State.TxnOps = 1, 10
+			c.start(i)
+		}
+		if large == 0 {
+			t.Error("no record is large")
+		}
+		c.submit(jobBody("wk-3", wire.Array, "blue", "normal", 50, 1, 2))
+		c.awaitDone("wk-3", 2*time.Minute)
+		c.abort("wk-2")
+		c.awaitDone("wk-1", 20*time.Minute)
+		if n := c.world.State.Larger(1 << 10); n > 0 {
+			t.Errorf("%d records are too large still", n)
+		}
+	})
+}
+
+// A job whose description can't be stored is refused for good, and one that was accepted
+// while more was allowed can still be asked for, submitted again and cancelled.
+func TestDescriptionsBeyondTheLimit(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		body := func(id string) map[string]any {
+			b := jobBody(id, wire.Array, "blue", "normal", 300, 1, 30)
+			b["plumage"], b["flock"] = strings.Repeat("i", 190), strings.Repeat("f", 190)
+			b["hulls"] = []string{"small", strings.Repeat("x", 190), strings.Repeat("y", 190)}
+			return b
+		}
+		c.submit(body("wk-1"))
+		c.await("it runs", time.Minute, func() bool { return c.world.Running("wk-1") > 0 })
+		for i := range c.nodes {
+			c.kill(i)
+		}
+		c.world.State.SetLimits(1<<10, 10)
+		for i, n := range c.nodes {
+			n.cfg.Settings.State.ValueKB, n.cfg.Settings.State.TxnOps = 1, 10
+			c.start(i)
+		}
+		if status, _ := c.call(standin.Submit, "wk-2", body("wk-2"), nil, 20*time.Second); status != http.StatusUnprocessableEntity {
+			t.Errorf("a description that can't be stored: status %d", status)
+		}
+		if status, _ := c.call(standin.Submit, "wk-1", body("wk-1"), nil, 20*time.Second); status != http.StatusOK {
+			t.Errorf("an accepted one, repeated: status %d", status)
+		}
+		c.abort("wk-1")
+		c.await("its tasks are gone", 30*time.Second, func() bool { return c.world.Running("wk-1") == 0 })
+	})
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 	// Most records have nothing to do: all their tasks run.
 	var mine []*rec
 	for _, r := range p.recs {
-		if r.job.spec != nil && (r.dirty || r.job.fate == live && r.placed < len(r.entries)) {
+		if r.job.spec != nil && (r.dirty || r.size > b.maxValue() || r.job.fate == live && r.placed < len(r.entries)) {
 			mine = append(mine, r)
 		}
 	}
@@ -351,6 +352,9 @@
 	return min(400*time.Millisecond+b.wr.Backlog(), time.Second)
 }
 
+// barredWrite is how long a record that was refused as invalid is not written.
+const barredWrite = 10 * time.Second
+
 // store writes what has changed of a record, if anything.
 func (b *brain) store(p *part, r *rec) {
 	var next []entry
@@ -413,12 +417,16 @@
 		}
 		next = append(next, e)
 	}
-	if !changed {
+	large := r.size > b.maxValue() // for what is allowed now
+	if b.now.Before(r.barredTo) {
+		return
+	}
+	if !changed && !large {
 		r.dirty = false
 		r.endedAt, r.boundAt = time.Time{}, time.Time{}
 		return
 	}
-	if len(bound) > 0 && pending > 0 && !job.spec.Whole() {
+	if !large && len(bound) > 0 && pending > 0 && !job.spec.Whole() {
 		if r.boundAt.IsZero() {
 			r.boundAt = b.now
 		}
@@ -426,7 +434,7 @@
 			return
 		}
 	}
-	if len(bound) == 0 && len(next) > 0 && job.fate == live && !job.spec.Whole() {
+	if !large && len(bound) == 0 && len(next) > 0 && job.fate == live && !job.spec.Whole() {
 		// Ends alone can wait a little for each other: writes are scarce.
 		if r.endedAt.IsZero() {
 			r.endedAt = b.now
@@ -449,7 +457,20 @@
 		// Binding and completing race with a cancellation: only one can hold.
 		u.If = append(u.If, wire.Condition{Key: jobKey(job.id), Version: job.stamp})
 	}
-	u.Then = append(u.Then, wire.Change{Put: r.key, Value: r.value(doneN, next)})
+	pieces := b.fit(r, doneN, next)
+	var elsewhere []*machine // of tasks that are bound and move to another piece
+	if len(pieces) > 1 {
+		for _, t := range bound {
+			elsewhere = append(elsewhere, p.alloc[t].m)
+		}
+	}
+	// New records first: what moves to them is adopted there before it is given up here.
+	for _, piece := range pieces[1:] {
+		key := groupKey(job.id, job.newRec())
+		u.If = append(u.If, wire.Condition{Key: key})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: piece})
+	}
+	u.Then = append(u.Then, wire.Change{Put: r.key, Value: pieces[0]})
 	ending := false
 	if job.fate == live && !job.ending && doneN > r.done {
 		if _, finished := job.dealt(); finished+doneN-r.done == job.spec.Tasks {
@@ -474,6 +495,10 @@
 		}
 		if err != nil {
 			b.log.Debug("record write failed", "key", r.key, "err", err)
+			if errors.Is(err, store.ErrInvalid) {
+				b.log.Error("record is refused as invalid", "key", r.key, "entries", len(next), "bytes", len(u.Then[0].Value))
+				r.barredTo = b.now.Add(barredWrite)
+			}
 			// Not stored as far as we know: the claims are given up, and what
 			// the store really has is read before anything else is done.
 			if p.term != 0 {
@@ -503,6 +528,10 @@
 			}
 		}
 		kicked := map[*machine]bool{}
+		for _, m := range elsewhere {
+			kicked[m] = true
+			b.kick(m)
+		}
 		for i := range r.entries {
 			if m := r.entries[i].m; m != nil && !kicked[m] {
 				kicked[m] = true
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -207,6 +207,8 @@
 	boundAt  time.Time   // since when new bindings wait to be stored
 	since    time.Time   // when it came to its part
 	cappedAt time.Time   // when the leader last changed its cap
+	size     int         // of its stored form
+	barredTo time.Time   // not written before then: it was refused as invalid
 }
 
 func (r *rec) task(num int32) core.Task { return core.Task{Rec: r.idx, Num: num} }
@@ -307,8 +309,58 @@
 	return raw
 }
 
-// maxEntries keeps a record within the state service's limit of a value.
+// maxEntries keeps a record within the state service's limit of a value, by the usual
+// form of an entry. One that gets larger all the same is split (brain.fit).
 func maxEntries(valueKB float64) int {
-	const perEntry = 96 // the longest usual form, with room for long names
-	return max(1, min(128, int(valueKB*1024-256)/perEntry))
+	const perEntry = 72
+	return max(1, min(128, int(valueKB*1024-128)/perEntry))
+}
+
+// maxValue is how large a stored value may be.
+func (b *brain) maxValue() int { return int(b.cfg.Settings.State.ValueKB * 1024) }
+
+// fit is a record's stored form, in as many pieces as the limit of a value asks for: one
+// that was written while more was allowed, or whose names are long, is split when it is
+// written again. The first piece is the record itself.
+func (b *brain) fit(r *rec, done int, entries []entry) []json.RawMessage {
+	v := r.value(done, entries)
+	if len(v) <= b.maxValue() || len(entries) < 2 {
+		return []json.RawMessage{v}
+	}
+	half := len(entries) / 2
+	stay, leave := entries[:half], entries[half:]
+	first, second := *r, *r
+	if r.cap != 0 { // together no more than before: each keeps what is bound
+		bound := 0
+		for i := range stay {
+			if stay[i].m != nil {
+				bound++
+			}
+		}
+		rest := 0
+		for i := range leave {
+			if leave[i].m != nil {
+				rest++
+			}
+		}
+		free := max(0, r.cap-1-bound-rest)
+		here := min(free, len(stay)-bound)
+		first.cap, second.cap = 1+bound+here, 1+rest+min(free-here, len(leave)-rest)
+	}
+	return append(b.fit(&first, done, stay), b.fit(&second, 0, leave)...)
+}
+
+// cancelledValue is a cancelled job's stored form. The description stays: its tasks count
+// for the team's limit until they are gone, also for a controller that starts later. Of
+// one too large for that, what placing it would need is left out.
+func (b *brain) cancelledValue(j *job) json.RawMessage {
+	v := jobValue{Fate: cancelled, At: j.at.UnixMilli(), Job: j.spec}
+	out := mustJSON(v)
+	if len(out) > b.maxValue() {
+		short := *j.spec
+		short.Types, short.Image, short.Class = nil, "", ""
+		v.Job = &short
+		out = mustJSON(v)
+	}
+	return out
 }
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -139,6 +139,9 @@
 	if j.Whole() {
 		tasks = j.Tasks
 	}
+	if len(mustJSON(jobValue{Fate: cancelled, At: b.now.UnixMilli(), Job: j})) > b.maxValue() {
+		return "its description is larger than can be stored"
+	}
 	found := false
 	for i := range b.cfg.Settings.Teams {
 		t := &b.cfg.Settings.Teams[i]
@@ -307,11 +310,9 @@
 				result <- store.ErrConflict
 				return
 			}
-			// The spec stays: its tasks count for the team's limit until they
-			// are gone, also for a controller that starts later.
 			b.write(&store.Unit{Urgent: true,
 				If:   []wire.Condition{{Key: jobKey(id), Version: j.stamp}},
-				Then: []wire.Change{{Put: jobKey(id), Value: mustJSON(jobValue{Fate: cancelled, At: j.at.UnixMilli(), Job: j.spec})}},
+				Then: []wire.Change{{Put: jobKey(id), Value: b.cancelledValue(j)}},
 			}, func(err error) { result <- err })
 		}) {
 			return b.busy()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -69,6 +69,26 @@
 	s.down = down
 }
 
+// SetLimits sets how large a value and how many the changes of a transaction may be.
+func (s *State) SetLimits(value, ops int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.MaxValue, s.MaxOps = value, ops
+}
+
+// Larger counts the values beyond a size.
+func (s *State) Larger(than int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, v := range s.keys {
+		if len(v.raw) > than {
+			n++
+		}
+	}
+	return n
+}
+
 // Keys lists the stored keys below prefix.
 func (s *State) Keys(prefix string) []string {
 	s.mu.Lock()
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -23,6 +23,9 @@
 	ErrConflict = errors.New("state service: a condition failed")
 	ErrNoLease  = errors.New("state service: no such lease")
 	ErrTooOld   = errors.New("state service: revision too old")
+	// ErrInvalid: it is beyond a limit of the service, or malformed. The same again
+	// would be refused again.
+	ErrInvalid = errors.New("state service: refused as invalid")
 	// ErrRefused: surely not executed (429 and 503).
 	ErrRefused = errors.New("state service: refused")
 	// ErrTooMuch is an ErrRefused: the limits of all controllers together are
@@ -32,6 +35,9 @@
 	ErrUnknown = errors.New("state service: no answer")
 )
 
+// noSuchLease is what a write under a lease that has ended is told.
+const noSuchLease = "no such lease"
+
 // callTimeout bounds each call; the state service mostly answers within 10 ms.
 const callTimeout = 1500 * time.Millisecond
 
@@ -87,6 +93,14 @@
 	case http.StatusServiceUnavailable:
 		c.refused.Add(1)
 		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
+	case http.StatusBadRequest:
+		var why struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(raw, &why) == nil && why.Error == noSuchLease {
+			return resp.StatusCode, ErrNoLease
+		}
+		return resp.StatusCode, ErrInvalid
 	case http.StatusOK, http.StatusConflict:
 		if out != nil {
 			if err := wire.Decode(raw, out); err != nil {
@@ -118,8 +132,6 @@
 	case status == http.StatusConflict:
 		c.conflicts.Add(1)
 		return &out, ErrConflict
-	case status == http.StatusBadRequest:
-		return nil, ErrNoLease
 	}
 	return nil, fmt.Errorf("state service: status %d", status)
 }
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -294,9 +294,9 @@
 			}
 			batch = rest
 			continue
-		case errors.Is(err, ErrNoLease):
+		case errors.Is(err, ErrNoLease), errors.Is(err, ErrInvalid):
 			if len(batch) == 1 {
-				w.settle(batch[0], 0, ErrNoLease)
+				w.settle(batch[0], 0, err)
 				return
 			}
 			for _, u := range batch { // find the guilty one
