--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -100,7 +100,7 @@
 		l.writing = true
 		v := l.lendValue
 		v.Ack = true
-		b.write(&store.Unit{
+		b.write(&store.Unit{Prompt: true,
 			If:   []wire.Condition{{Key: p.key, Version: p.term}, {Key: preLend + name, Version: l.stamp}},
 			Then: []wire.Change{{Put: preLend + name, Value: mustJSON(v)}},
 		}, func(error) { l.writing = false })
@@ -172,7 +172,7 @@
 // borrowMachines lends machines to the leader's part, if the parts that they are in have
 // not changed hands meanwhile.
 func (b *brain) borrowMachines(chosen []*core.Host, cond []wire.Condition, v lendValue) {
-	u := &store.Unit{Early: true, If: append([]wire.Condition{{Key: keyLeader, Version: b.lead.term}}, cond...)}
+	u := &store.Unit{Prompt: true, If: append([]wire.Condition{{Key: keyLeader, Version: b.lead.term}}, cond...)}
 	parts := map[int]bool{}
 	for _, h := range chosen {
 		h.Touched, h.Free = true, core.Res{}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -452,7 +452,7 @@
 	r.endedAt, r.boundAt = time.Time{}, time.Time{}
 	// Services first: when hundreds of machines are lost together, or all leases have
 	// ended in an outage, what is to be stored takes longer than users wait.
-	u := &store.Unit{Early: job.spec.Whole(), If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
+	u := &store.Unit{Prompt: job.spec.Gang && len(bound) > 0, Early: job.spec.Whole(), If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
 	if job.fate == live {
 		// Binding and completing race with a cancellation: only one can hold.
 		u.If = append(u.If, wire.Condition{Key: jobKey(job.id), Version: job.stamp})
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -17,6 +17,9 @@
 	Then []wire.Change
 	// Urgent units (submissions, cancellations) go first.
 	Urgent bool
+	// Prompt units go with the urgent ones, but are tried until their outcome is known:
+	// few, on which others' work waits.
+	Prompt bool
 	// Early units go before usual ones: many others' work waits for them.
 	Early bool
 	// Contested units may well find a condition failed, since others write the
@@ -39,6 +42,9 @@
 // shares its transaction, which is sent, and counted, once more.
 func (u *Unit) Void() { u.void.Store(true) }
 
+// first tells whether a unit goes before all others and doesn't wait for the pace.
+func (u *Unit) first() bool { return u.Urgent || u.Prompt }
+
 // maxTxnBytes leaves room below the 64 KiB that a transaction may have.
 const maxTxnBytes = 56 << 10
 
@@ -91,7 +97,7 @@
 	}
 	q := w.usual
 	switch {
-	case u.Urgent:
+	case u.first():
 		q = w.urgent
 	case u.Early:
 		q = w.early
@@ -188,7 +194,7 @@
 	ops := w.pace.batch(w.ops)
 	for fits(batch, ops) {
 		var u *Unit
-		if first.Urgent {
+		if first.first() {
 			select {
 			case u = <-w.urgent:
 			default:
@@ -263,7 +269,7 @@
 		}
 		// Users' writes don't queue behind the records' for the local limit:
 		// they are few, and after an outage there are records for seconds.
-		if err := w.pace.wait(ctx, len(t.Then), batch[0].Urgent); err != nil {
+		if err := w.pace.wait(ctx, len(t.Then), batch[0].first()); err != nil {
 			for _, u := range batch {
 				w.settle(u, 0, ErrUnknown)
 			}
