A machine with claimed cells is not handed back, and nothing is claimed on one that is

Its binding could be stored just after: the machine was its former owner's by then, the record the leader's, and neither could end the task; its job waited for ever.

--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -355,8 +355,7 @@
 	// tasks are dealt already is known by their number alone, so a gap, left by
 	// one write that failed, would have a later dealing hand out tasks twice.
 	term, epoch := b.lead.term, b.lead.epoch
-	// The leader deals nothing more before this is known: it goes first.
-	u := &store.Unit{Prompt: true, If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	u := &store.Unit{Prompt: spec.Gang, Early: true, If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
 	// Records whose tasks are all done are used again, so that a large array
 	// leaves few behind. None is deleted while its job lives: a dealing that is
 	// applied minutes late must not find its key absent once more.
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -33,6 +33,7 @@
 	lendValue
 	stamp   uint64
 	writing bool
+	leaving bool // it is being handed back: nothing is placed on it any more
 	since   time.Time
 }
 
@@ -90,11 +91,7 @@
 		if l.Ack || l.writing || m.hash != p.n || len(m.bound) > 0 {
 			continue
 		}
-		busy := false
-		for _, a := range p.alloc {
-			busy = busy || a.m == m
-		}
-		if busy {
+		if p.claimed(m) {
 			continue
 		}
 		l.writing = true
@@ -198,7 +195,9 @@
 		if l.Ack && l.stamp > p.term {
 			p.raise = true // the former owner's tokens are below this stamp
 		}
-		if l.writing || l.Ack && len(m.bound) > 0 && !m.gone {
+		// What has claimed a cell there may be bound any moment: handed back meanwhile, the
+		// machine was its former owner's and the binding ours, and neither could end it.
+		if l.writing || l.Ack && (len(m.bound) > 0 || p.claimed(m)) && !m.gone {
 			continue
 		}
 		if l.Job == poolJob {
@@ -231,11 +230,21 @@
 	}
 }
 
+// claimed tells whether a cell of a machine is claimed whose binding is not known yet.
+func (p *part) claimed(m *machine) bool {
+	for _, a := range p.alloc {
+		if a.m == m {
+			return true
+		}
+	}
+	return false
+}
+
 // handBack ends a lending.
 func (b *brain) handBack(name string, l *lend) {
-	l.writing = true
+	l.writing, l.leaving = true, true
 	b.write(&store.Unit{
 		If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: preLend + name, Version: l.stamp}},
 		Then: []wire.Change{{Delete: preLend + name}},
-	}, func(error) { l.writing = false })
+	}, func(error) { l.writing, l.leaving = false, false })
 }
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -303,7 +303,7 @@
 	if m.openAt != b.steps {
 		m.openAt = b.steps
 		m.open = b.up(m, p) && m.notice.IsZero() && !m.suspect && !b.now.Before(m.cooling) &&
-			(!b.closing[m.name] || p.n == b.lentPart()) && !b.leaving[m.name] && (b.lends[m.name] == nil || p.n == b.lentPart())
+			(!b.closing[m.name] || p.n == b.lentPart()) && !b.leaving[m.name] && (b.lends[m.name] == nil || p.n == b.lentPart() && !b.lends[m.name].leaving)
 	}
 	return m.open
 }
