--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -593,6 +593,11 @@
 		e := &r.entries[i]
 		if e.m != nil {
 			e.m.bound.remove(r.task(e.num))
+			// Of a machine that is in another part than the record, as one that was lent
+			// and died: adopted there, the cell would stay taken for good.
+			if p := b.parts[e.m.home]; e.m.home != r.part && p.term != 0 {
+				b.freeCell(p, r.task(e.num))
+			}
 		}
 		if r.job.loc[e.num] == r {
 			delete(r.job.loc, e.num)
