--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -138,6 +138,10 @@
 	// machines are those that are in the part, whoever owns it.
 	machines []*machine
 	recs     []*rec // that it is in charge of
+	// foreign are records of other parts of which tasks have ended on a machine of this
+	// one, as on one that was lent and came back when its borrower ended: nobody else
+	// knows, and who is in charge of the record would wait for ever.
+	foreign map[*rec]bool
 	queued   int    // tasks that found no cell in this step so far
 	// Cells that came free since endsSince, and in the time before that.
 	ends, endsBefore int
--- a/internal/controller/causes_test.go
+++ b/internal/controller/causes_test.go
@@ -264,3 +264,34 @@
 		c.await("the services run", time.Minute, func() bool { return c.allRun(6, 2) })
 	})
 }
+
+// A task of a record that another part is in charge of ends on a machine of ours, which
+// was lent and is back: its cell is free again, and its end is stored by us, since nobody
+// else will ever know. Its job waited for ever.
+func TestEndOfAnotherPartsTask(t *testing.T) {
+	b := lone(t)
+	b.parts = append([]*part{b.parts[0], {n: 1, key: partKey(1)}}, &part{n: 2, key: keyLeader})
+	p := b.parts[0]
+	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 2, CPUs: 1, Team: "t", NoDeadline: true}}), 6)
+	key := groupKey("wk-1", 0)
+	value := func(machine string) groupValue {
+		return groupValue{Part: 2, Tasks: []entryValue{{Attempt: 1, Machine: machine, Session: 1}, {Num: 1}}}
+	}
+	b.put(key, raw(t, value("host-1")), 7)
+	r := b.recByKey[key]
+	m := b.machine("host-1")
+	if m.home != 0 || p.cells.CellOf(r.task(0)) == nil {
+		t.Fatalf("part %d, cell %v", m.home, p.cells.CellOf(r.task(0)))
+	}
+	m.heard, m.session = b.now, 2 // a later session: the first one's task is gone
+	b.judge(m, p)
+	b.stepPart(p)
+	if !r.writing || b.wr.Backlog() == 0 {
+		t.Error("its end is not stored")
+	}
+	b.put(key, raw(t, value("host-1")), 8) // somebody wrote the record before that
+	b.put(key, raw(t, value("")), 9)
+	if len(p.cells.Tasks()) != 0 {
+		t.Errorf("cells %v are left", p.cells.Tasks())
+	}
+}
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -197,7 +197,7 @@
 		}
 		// What has claimed a cell there may be bound any moment: handed back meanwhile, the
 		// machine was its former owner's and the binding ours, and neither could end it.
-		if l.writing || l.Ack && (len(m.bound) > 0 || p.claimed(m)) && !m.gone {
+		if l.writing || l.Ack && (len(m.bound) > 0 || p.claimed(m)) {
 			continue
 		}
 		if l.Job == poolJob {
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -484,6 +484,12 @@
 	}
 	b.log.Debug("attempt over", "task", taskName(r.job.id, e.num), "attempt", e.attempt, "machine", e.m.name, "done", o.done)
 	p := b.parts[e.m.home]
+	if p.n != r.part {
+		if p.foreign == nil {
+			p.foreign = map[*rec]bool{}
+		}
+		p.foreign[r] = true
+	}
 	p.ended(b.now)
 	b.freeCell(p, t)
 	b.step()
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -58,6 +58,13 @@
 			b.store(p, r)
 		}
 	}
+	for r := range p.foreign {
+		if b.recs[r.idx] != r || !r.dirty || r.part == p.n {
+			delete(p.foreign, r)
+		} else if !r.writing && r.job.spec != nil {
+			b.store(p, r)
+		}
+	}
 	b.tellGangs(p)
 	b.acknowledge(p)
 	if p.raise {
