--- a/internal/controller/causes_test.go
+++ b/internal/controller/causes_test.go
@@ -286,6 +286,8 @@
 	m.heard, m.session = b.now, 2 // a later session: the first one's task is gone
 	b.judge(m, p)
 	b.stepPart(p)
+	b.now = b.now.Add(mostGather + time.Second) // ends wait for each other
+	b.stepPart(p)
 	if !r.writing || b.wr.Backlog() == 0 {
 		t.Error("its end is not stored")
 	}
