--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -142,7 +142,7 @@
 	// one, as on one that was lent and came back when its borrower ended: nobody else
 	// knows, and who is in charge of the record would wait for ever.
 	foreign map[*rec]bool
-	queued   int    // tasks that found no cell in this step so far
+	queued  int // tasks that found no cell in this step so far
 	// Cells that came free since endsSince, and in the time before that.
 	ends, endsBefore int
 	endsSince        time.Time
--- a/internal/controller/causes_test.go
+++ b/internal/controller/causes_test.go
@@ -291,7 +291,10 @@
 	if !r.writing || b.wr.Backlog() == 0 {
 		t.Error("its end is not stored")
 	}
-	b.put(key, raw(t, value("host-1")), 8) // somebody wrote the record before that
+	// The same where the record's own part has stored the end.
+	r.writing = false
+	key = groupKey("wk-1", 1)
+	b.put(key, raw(t, value("host-2")), 8)
 	b.put(key, raw(t, value("")), 9)
 	if len(p.cells.Tasks()) != 0 {
 		t.Errorf("cells %v are left", p.cells.Tasks())
