Test of users turned away: the busy lane leaves a moment between two turns

The test was wrong: it kept the lane before users' never empty for a moment, so that it was the scheduler's luck whether any user was served. Its bounds are the same.

--- a/internal/controller/shortage_test.go
+++ b/internal/controller/shortage_test.go
@@ -131,6 +131,7 @@
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				b.ask(c.ctx, laneState, func() { time.Sleep(900 * time.Millisecond) })
+				time.Sleep(time.Millisecond) // or it would be luck whether users have a turn
 			}
 		})
 		var mu sync.Mutex
