Gangs: the pool has room for more the more gangs of a class there are

Cause: after one gang had taken the pool's room, the next waited until a machine without services was lent.

--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -46,6 +46,13 @@
 	spec *wire.Job
 	need core.Res
 	seen time.Time
+	live int // gangs of it that there are now
+}
+
+// room is for how many tasks the pool should have room: the next gang, and as many more as
+// may come before it is filled again, about the square root of those that there are.
+func (c *gangClass) room() int {
+	return c.spec.Tasks * (1 + int(math.Ceil(math.Sqrt(float64(c.live)))))
 }
 
 // mayUsePool tells whether a job may be placed on machines that the leader has in its
@@ -74,16 +81,24 @@
 	if p.classes == nil {
 		p.classes = map[string]*gangClass{}
 	}
+	for _, c := range p.classes {
+		c.live = 0
+	}
 	for _, j := range b.atHand {
 		if j.spec == nil || !j.spec.Gang || j.fate != live {
 			continue
 		}
 		c := p.classes[j.spec.Class]
 		if c == nil || c.spec.Tasks <= j.spec.Tasks {
-			c = &gangClass{spec: j.spec, need: j.need}
+			live := 0
+			if c != nil {
+				live = c.live
+			}
+			c = &gangClass{spec: j.spec, need: j.need, live: live}
 			p.classes[j.spec.Class] = c
 		}
 		c.seen = b.now
+		c.live++
 	}
 	for name, c := range p.classes {
 		if b.now.Sub(c.seen) > poolForgets {
@@ -99,7 +114,7 @@
 		return cmp.Or(cmp.Compare(len(y.Claims), len(x.Claims)), cmp.Compare(x.ID, y.ID))
 	})
 	for _, c := range p.sorted() {
-		n := 2 * c.spec.Tasks
+		n := 2 * c.room()
 		for _, h := range ours {
 			if n <= 0 {
 				break
@@ -143,7 +158,7 @@
 	var chosen []*core.Host
 	for _, c := range p.sorted() {
 		spec := c.spec
-		n := spec.Tasks
+		n := c.room()
 		zone := b.poolZone(room, c)
 		fits := func(h *core.Host) bool {
 			return !h.Booting && allowed(spec, zone, h.Type, h.Zone, h.Spot)
