--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -490,8 +490,10 @@
 func play(t *testing.T, seed uint64, jobs int, faults []fault) {
 	inWorld(t, func(c *cluster) {
 		s := &scene{cluster: c, rng: rand.New(rand.NewPCG(seed, 11)), specs: map[string]map[string]any{}, lasts: map[string]bool{}, called: map[string]bool{}, kept: map[string][]byte{}}
-		for i, n := range c.nodes {
+		for range c.nodes {
 			s.judges = append(s.judges, map[int]func(*http.Request) standin.Fate{})
+		}
+		for i, n := range c.nodes {
 			n.net.SetLate(2*time.Second, 10*time.Second)
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				s.mu.Lock()
