--- /dev/null
+++ b/internal/controller/bindings.go
@@ -0,0 +1,293 @@
+package controller
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// leastGather and mostGather bound how long ended attempts of a record may wait
+// for others. The most is below the 3 s within which a done job must be known as
+// done, and a record's last task does not wait at all.
+const (
+	leastGather = time.Second
+	mostGather  = 2500 * time.Millisecond
+)
+
+// gatherEnds is how long ended attempts of a record wait for others now: writes
+// are scarce, and the more of them wait, the more one should carry. Their cells
+// are free meanwhile.
+func (b *brain) gatherEnds() time.Duration {
+	return min(leastGather+2*b.wr.Backlog(), mostGather)
+}
+
+// gatherBinds is how long the new bindings of an array's record wait for others
+// while more of its tasks are to come: cells come free one by one, many times a
+// second, and a change for each would take up what the state service allows.
+func (b *brain) gatherBinds() time.Duration {
+	return min(400*time.Millisecond+b.wr.Backlog(), time.Second)
+}
+
+// barredWrite is how long a record that was refused as invalid is not written.
+const barredWrite = 10 * time.Second
+
+// recordUpdate is what the next write of a record changes.
+type recordUpdate struct {
+	entries []entry     // as they will be stored
+	done    int         // tasks done, as it will be stored
+	ended   []endedTask // proven ends that are stored with it
+	bound   []core.Task // new bindings
+	pending int         // tasks that stay without a cell
+	changed bool
+	large   bool // the stored form is beyond what is allowed now
+}
+
+// endedTask is a task with the proven end of its attempt.
+type endedTask struct {
+	task core.Task
+	end  outcome
+}
+
+// store writes what has changed of a record, if anything.
+func (b *brain) store(p *part, r *rec) {
+	update := b.planUpdate(p, r)
+	if b.now.Before(r.barredTo) {
+		return
+	}
+	if !update.changed && !update.large {
+		r.dirty = false
+		r.endedAt, r.boundAt = time.Time{}, time.Time{}
+		return
+	}
+	if !update.large && b.updateWaits(r, &update) {
+		return
+	}
+	r.endedAt, r.boundAt = time.Time{}, time.Time{}
+	b.writeUpdate(p, r, &update)
+}
+
+// bindingAttempt is the attempt of the next bindings of a gang's record; 0: none may be
+// made, since not all of its tasks have cells.
+func (b *brain) bindingAttempt(p *part, r *rec) uint64 {
+	attempt, there := b.gangAttempt(r.job)
+	if there {
+		return attempt // what is missing of it
+	}
+	for i := range r.entries {
+		if _, ok := p.alloc[r.task(r.entries[i].num)]; !ok {
+			return 0
+		}
+	}
+	return attempt + 1
+}
+
+// planUpdate works out what is to be stored of a record: ended attempts, new bindings.
+func (b *brain) planUpdate(p *part, r *rec) recordUpdate {
+	update := recordUpdate{done: r.done, large: r.size > b.maxValue()}
+	job := r.job
+	gang := job.spec.Gang
+	if gang && job.isFinished() && job.fate == live {
+		b.planFinished(r, &update)
+		return update
+	}
+	attempt := uint64(0)
+	if gang {
+		attempt = b.bindingAttempt(p, r)
+	}
+	for _, e := range r.entries {
+		t := r.task(e.num)
+		if o, ok := b.outcomes[t]; ok && e.m != nil && o.attempt == e.attempt {
+			update.ended = append(update.ended, endedTask{t, o})
+			update.changed = true
+			if o.done {
+				update.done++
+				continue
+			}
+			e.m, e.session = nil, 0
+		}
+		if a, ok := p.alloc[t]; ok && e.m == nil && job.fate == live && (!gang || attempt > 0) {
+			if a.m.gone || !b.up(a.m, p) {
+				delete(p.alloc, t)
+				b.freeCell(p, t)
+			} else {
+				e.m, e.session = a.m, a.m.session
+				e.attempt++
+				if gang {
+					e.attempt = attempt
+				}
+				update.bound = append(update.bound, t)
+				update.changed = true
+			}
+		}
+		if e.m == nil {
+			update.pending++
+		}
+		update.entries = append(update.entries, e)
+	}
+	return update
+}
+
+// planFinished has all tasks of a gang's record done: one of the gang is.
+func (b *brain) planFinished(r *rec, update *recordUpdate) {
+	for i := range r.entries {
+		t := r.task(r.entries[i].num)
+		if o, ok := b.outcomes[t]; ok {
+			update.ended = append(update.ended, endedTask{t, o})
+		}
+	}
+	update.done += len(r.entries)
+	update.changed = len(r.entries) > 0
+}
+
+// updateWaits tells whether an array's update can wait for more to come.
+func (b *brain) updateWaits(r *rec, update *recordUpdate) bool {
+	if r.job.spec.Whole() {
+		return false
+	}
+	if len(update.bound) > 0 {
+		if update.pending == 0 {
+			return false
+		}
+		if r.boundAt.IsZero() {
+			r.boundAt = b.now
+		}
+		return b.now.Sub(r.boundAt) < b.gatherBinds()
+	}
+	if len(update.entries) == 0 || r.job.fate != live {
+		return false
+	}
+	// Ends alone can wait a little for each other: writes are scarce.
+	if r.endedAt.IsZero() {
+		r.endedAt = b.now
+	}
+	gather := b.gatherEnds()
+	if update.done == r.done {
+		// Of tasks that were lost nobody waits to hear: they are stored with
+		// their next bindings, or when there is nothing more urgent.
+		gather = max(gather, b.wr.Backlog())
+	}
+	return b.now.Sub(r.endedAt) < gather
+}
+
+// writeUpdate has the state service carry an update out.
+func (b *brain) writeUpdate(p *part, r *rec, update *recordUpdate) {
+	job := r.job
+	// Services first: when hundreds of machines are lost together, or all leases have
+	// ended in an outage, what is to be stored takes longer than users wait.
+	u := &store.Unit{Prompt: job.spec.Gang && len(update.bound) > 0, Early: job.spec.Whole(), If: []wire.Condition{{Key: p.key, Version: p.term}, {Key: r.key, Version: r.stamp}}}
+	if job.fate == live {
+		// Binding and completing race with a cancellation: only one can hold.
+		u.If = append(u.If, wire.Condition{Key: jobKey(job.id), Version: job.stamp})
+	}
+	pieces := b.fit(r, update.done, update.entries)
+	var elsewhere []*machine // of tasks that are bound and move to another piece
+	if len(pieces) > 1 {
+		for _, t := range update.bound {
+			elsewhere = append(elsewhere, p.alloc[t].m)
+		}
+	}
+	// New records first: what moves to them is adopted there before it is given up here.
+	for _, piece := range pieces[1:] {
+		key := groupKey(job.id, job.newRec())
+		u.If = append(u.If, wire.Condition{Key: key})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: piece})
+	}
+	u.Then = append(u.Then, wire.Change{Put: r.key, Value: pieces[0]})
+	ending := b.endsJob(r, update)
+	if ending {
+		job.ending = true
+		u.Then = append(u.Then, wire.Change{Put: jobKey(job.id), Value: mustJSON(jobValue{Fate: done})})
+	}
+	r.writing, r.unit = true, u
+	b.metrics.count(cStored, 1)
+	term := p.term
+	b.write(u, func(err error) {
+		r.writing, r.unit = false, nil
+		if ending {
+			job.ending = false
+		}
+		if job.fate != live && r.part == p.n {
+			b.cancelClaims(r, true) // what came to it while the write was on its way
+		}
+		switch {
+		case err != nil:
+			b.updateFailed(p, r, update, err)
+		case p.term == term:
+			b.updateStored(r, update, elsewhere)
+		}
+	})
+}
+
+// endsJob tells whether an update completes the last tasks of a job.
+func (b *brain) endsJob(r *rec, update *recordUpdate) bool {
+	job := r.job
+	if job.fate != live || job.ending || update.done == r.done {
+		return false
+	}
+	_, finished := job.dealt()
+	return finished+update.done-r.done == job.spec.Tasks
+}
+
+// updateFailed gives up the claims of an update that is not stored as far as we know; what
+// the state service really has is read before anything else is done.
+func (b *brain) updateFailed(p *part, r *rec, update *recordUpdate, err error) {
+	b.log.Debug("record write failed", "key", r.key, "err", err)
+	if errors.Is(err, store.ErrInvalid) {
+		b.log.Error("record is refused as invalid", "key", r.key, "entries", len(update.entries))
+		r.barredTo = b.now.Add(barredWrite)
+	}
+	if p.term != 0 {
+		for _, t := range update.bound {
+			if _, ok := p.alloc[t]; ok {
+				delete(p.alloc, t)
+				b.freeCell(p, t)
+			}
+		}
+	}
+	r.writing = true
+	b.readThen(func() { r.writing = false; b.step() })
+}
+
+// updateStored has what an update binds started, and forgets the ends that it stored.
+func (b *brain) updateStored(r *rec, update *recordUpdate, elsewhere []*machine) {
+	job := r.job
+	b.metrics.count(cBound, len(update.bound))
+	for _, t := range update.bound {
+		if e := r.find(t.Num); e != nil && e.m != nil {
+			b.log.Debug("task bound", "task", taskName(job.id, t.Num), "attempt", e.attempt, "machine", e.m.name)
+			if e.attempt == 1 {
+				b.metrics.observe(lBind, b.now.Sub(job.at))
+			}
+		}
+	}
+	for _, x := range update.ended {
+		if b.outcomes[x.task] == x.end {
+			delete(b.outcomes, x.task)
+		}
+	}
+	kicked := map[*machine]bool{}
+	kickOnce := func(m *machine) {
+		if !kicked[m] {
+			kicked[m] = true
+			b.kick(m)
+		}
+	}
+	for _, m := range elsewhere {
+		kickOnce(m)
+	}
+	if len(update.bound) > 0 && job.spec != nil && job.spec.Gang && job.complete() {
+		for m := range job.machines() { // also those that were bound before the last
+			kickOnce(m)
+		}
+	}
+	for i := range r.entries {
+		if m := r.entries[i].m; m != nil && slices.Contains(update.bound, r.task(r.entries[i].num)) {
+			kickOnce(m)
+		}
+	}
+	b.step()
+}
--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -15,9 +15,12 @@
 )
 
 // lone is a brain that owns its only part, without any world around it.
-func lone(t *testing.T) *brain {
+func lone(t *testing.T) *brain { return loneAmong(t, 1) }
+
+// loneAmong is the same in a cluster of several, of whose parts it owns the first.
+func loneAmong(t *testing.T, controllers int) *brain {
 	cfg := &config.Platform{Name: "n0"}
-	cfg.Settings.Count = 1
+	cfg.Settings.Count = controllers
 	cfg.Settings.Workers.ReportS, cfg.Settings.Workers.LeaseS, cfg.Settings.Workers.CancelS = 1, 10, 35
 	cfg.Settings.State.RPS, cfg.Settings.State.WriteRPS, cfg.Settings.State.ValueKB, cfg.Settings.State.TxnOps = 100, 40, 8, 32
 	cfg.Settings.Cloud.RPS = 1
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -31,6 +31,20 @@
 			l.OwnUsed = l.OwnUsed.Plus(use)
 		}
 	}
+	// A gang that is dealt in several transactions counts whole from the first on: it
+	// can't be begun without the rest.
+	for _, j := range b.atHand {
+		if j.fate != live || j.spec == nil || !j.spec.Gang {
+			continue
+		}
+		if dealt, _ := j.dealt(); dealt > 0 && dealt < j.spec.Tasks {
+			l, use := &out[j.team], j.need.Times(j.spec.Tasks-dealt)
+			l.Used = l.Used.Plus(use)
+			if j.firstRec().own {
+				l.OwnUsed = l.OwnUsed.Plus(use)
+			}
+		}
+	}
 	return out
 }
 
@@ -71,6 +85,10 @@
 			b.uncap(j, &limits[j.team])
 		}
 		dealt, _ := j.dealt()
+		if j.spec.Gang && dealt > 0 && dealt < j.spec.Tasks {
+			b.dealRest(j, dealt)
+			continue
+		}
 		if b.now.Sub(j.dealtAt) < dealEvery && !j.spec.Whole() {
 			if left := j.spec.Tasks - dealt; left > 0 {
 				n := limits[j.team].Room(j.need, left)
@@ -275,18 +293,13 @@
 	add := func(part int, zone string, n int) {
 		for n > 0 {
 			k := min(n, b.maxRec)
-			g := groupValue{Part: part, Zone: zone}
 			if own > 0 {
 				k = min(k, own)
-				own -= k
-				g.Own = true
-			}
-			for range k {
-				g.Tasks = append(g.Tasks, entryValue{Num: next})
-				next++
 			}
+			chunks = append(chunks, newGroupValue(part, zone, own > 0, next, k))
+			own = max(0, own-k)
+			next += int32(k)
 			n -= k
-			chunks = append(chunks, g)
 		}
 	}
 	// Where a team's limit is short, what is dealt but can't run yet would hold
@@ -337,40 +350,79 @@
 			break
 		}
 	}
-	most := b.cfg.Settings.State.TxnOps / 2
 	if spec.Gang {
-		most *= 2
-		if len(chunks) > most {
-			return core.Want{} // larger than one change can be: it is not begun in part
-		}
-	}
-	if len(chunks) > most {
+		// It counts whole, also if the rest of it is dealt later (dealRest).
+		chunks = b.inOneTxn(chunks)
+	} else if most := b.cfg.Settings.State.TxnOps / 2; len(chunks) > most {
 		for _, g := range chunks[most:] {
 			got -= len(g.Tasks)
 		}
 		chunks = chunks[:most]
 	}
 	lim.Used = lim.Used.Plus(j.need.Times(got))
-	// All records of one dealing are written together or not at all: which
-	// tasks are dealt already is known by their number alone, so a gap, left by
-	// one write that failed, would have a later dealing hand out tasks twice.
-	term, epoch := b.lead.term, b.lead.epoch
-	u := &store.Unit{Prompt: spec.Gang, Early: true, If: []wire.Condition{{Key: keyLeader, Version: term}, {Key: jobKey(j.id), Version: j.stamp}}}
-	// Records whose tasks are all done are used again, so that a large array
-	// leaves few behind. None is deleted while its job lives: a dealing that is
-	// applied minutes late must not find its key absent once more.
-	var empty []*rec
-	for _, r := range j.recs {
-		if len(r.entries) == 0 && !r.writing {
-			empty = append(empty, r)
-		}
-	}
-	slices.SortFunc(empty, func(x, y *rec) int { return cmp.Compare(x.k, y.k) })
-	var used []*rec
 	for _, g := range chunks {
 		if g.Own {
 			lim.OwnUsed = lim.OwnUsed.Plus(j.need.Times(len(g.Tasks)))
 		}
+	}
+	b.writeDealing(j, chunks)
+	zone := ""
+	if spec.OneZone {
+		zone = b.pinned(j)
+	}
+	return b.want(j, zone, room-got)
+}
+
+// newGroupValue is a record of tasks that are dealt for the first time.
+func newGroupValue(part int, zone string, own bool, first int32, tasks int) groupValue {
+	g := groupValue{Part: part, Zone: zone, Own: own}
+	for num := first; num < first+int32(tasks); num++ {
+		g.Tasks = append(g.Tasks, entryValue{Num: num})
+	}
+	return g
+}
+
+// inOneTxn is how much of a list of records one transaction can create.
+func (b *brain) inOneTxn(chunks []groupValue) []groupValue {
+	size := 0
+	for i := range chunks {
+		size += len(mustJSON(chunks[i])) + recordOverhead
+		if i > 0 && (i == b.cfg.Settings.State.TxnOps || size > store.MaxTxnBytes) {
+			return chunks[:i]
+		}
+	}
+	return chunks
+}
+
+// recordOverhead is about what a record adds to a transaction besides its value: its key,
+// twice, and the words round it.
+const recordOverhead = 200
+
+// dealRest deals the tasks of a gang that did not fit into the transactions before, to
+// where those are. Which tasks are dealt is known by number alone, so there is one
+// transaction at a time; a new leader goes on where the last one stopped.
+func (b *brain) dealRest(j *job, dealt int) {
+	first := j.firstRec()
+	var chunks []groupValue
+	for next := dealt; next < j.spec.Tasks; next += b.maxRec {
+		chunks = append(chunks, newGroupValue(first.part, first.zone, first.own, int32(next), min(b.maxRec, j.spec.Tasks-next)))
+	}
+	b.writeDealing(j, b.inOneTxn(chunks))
+}
+
+// writeDealing stores the records of one dealing. All of them are written together or
+// not at all: which tasks are dealt already is known by their number alone, so a gap,
+// left by one write that failed, would have a later dealing hand out tasks twice.
+func (b *brain) writeDealing(j *job, chunks []groupValue) {
+	if len(chunks) == 0 {
+		return
+	}
+	u := &store.Unit{Prompt: j.spec.Gang, Early: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	empty := j.emptyRecs()
+	var used []*rec
+	tasks := 0
+	for _, g := range chunks {
+		tasks += len(g.Tasks)
 		key, stamp := "", uint64(0)
 		if len(empty) > 0 {
 			key, stamp, g.Done = empty[0].key, empty[0].stamp, empty[0].done
@@ -382,23 +434,31 @@
 		u.If = append(u.If, wire.Condition{Key: key, Version: stamp})
 		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(g)})
 	}
-	if got > 0 {
-		j.dealtAt = b.now
-		b.lead.writes++
-		b.write(u, func(err error) {
-			for _, r := range used {
-				r.writing = false
-			}
-			b.leadWrote(epoch, err)
-		})
-		b.metrics.count(cDealt, len(chunks))
-		b.log.Debug("dealt", "job", j.id, "tasks", got, "records", len(chunks))
-	}
-	zone := ""
-	if spec.OneZone {
-		zone = b.pinned(j)
+	j.dealtAt = b.now
+	b.lead.writes++
+	epoch := b.lead.epoch
+	b.write(u, func(err error) {
+		for _, r := range used {
+			r.writing = false
+		}
+		b.leadWrote(epoch, err)
+	})
+	b.metrics.count(cDealt, len(chunks))
+	b.log.Debug("dealt", "job", j.id, "tasks", tasks, "records", len(chunks))
+}
+
+// emptyRecs are records whose tasks are all done. They are used again, so that a large
+// array leaves few behind. None is deleted while its job lives: a dealing that is applied
+// minutes late must not find its key absent once more.
+func (j *job) emptyRecs() []*rec {
+	var empty []*rec
+	for _, r := range j.recs {
+		if len(r.entries) == 0 && !r.writing {
+			empty = append(empty, r)
+		}
 	}
-	return b.want(j, zone, room-got)
+	slices.SortFunc(empty, func(x, y *rec) int { return cmp.Compare(x.k, y.k) })
+	return empty
 }
 
 // pinned is the zone that a samePlace job's tasks are in already, or are to be.
@@ -411,58 +471,6 @@
 	return ""
 }
 
-// zonePatience is how long a samePlace job of which nothing runs waits for room in the
-// zone that it was dealt to before it goes to another.
-const zonePatience = 15 * time.Second
-
-// otherZone has a samePlace job of which no task is anywhere go to another zone, if
-// there is no room in the one that it was dealt to, perhaps since that has lost its
-// machines. Bound to it for good, the job waited beside other zones' empty machines
-// for as long as the first one had none. Its tasks are all proven gone, so that nothing
-// is in two zones; an owner that binds one meanwhile loses by its record's version.
-func (b *brain) otherZone(hosts []*core.Host, r *rec) bool {
-	j, spec := r.job, r.job.spec
-	if !spec.OneZone || r.zone == "" || b.now.Sub(r.since) < zonePatience || len(j.recs) > b.cfg.Settings.State.TxnOps {
-		return false
-	}
-	need := 1
-	for _, o := range j.recs {
-		if o.writing || o.zone != r.zone || o.bound() > 0 {
-			return false // one has moved already in this step, and others follow it
-		}
-		if spec.Whole() {
-			need = max(need, len(o.entries))
-		}
-	}
-	room := map[string]int{}
-	for _, h := range hosts {
-		if !h.Booting && h.Part != b.lentPart() && allowed(spec, "", h.Type, h.Zone, h.Spot) {
-			room[h.Zone] += h.Free.Fits(j.need, need)
-		}
-	}
-	best := r.zone
-	for z, n := range room {
-		if n > room[best] || n == room[best] && z < best {
-			best = z
-		}
-	}
-	if best == r.zone || room[best] < need || room[r.zone] >= need {
-		return false
-	}
-	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}}}
-	for _, o := range j.recs {
-		moved := *o
-		moved.zone = best
-		u.If = append(u.If, wire.Condition{Key: o.key, Version: o.stamp})
-		u.Then = append(u.Then, wire.Change{Put: o.key, Value: moved.value(o.done, o.entries)})
-	}
-	b.log.Info("job goes to another zone", "job", j.id, "from", r.zone, "to", best)
-	b.lead.writes++
-	epoch := b.lead.epoch
-	b.write(u, func(err error) { b.leadWrote(epoch, err) })
-	return true
-}
-
 // zonesFor lists the zones to try; "" stands for any.
 func (b *brain) zonesFor(j *job, hosts []*core.Host) []string {
 	if !j.spec.OneZone && !j.spec.Spread {
@@ -503,76 +511,3 @@
 	}
 	return n
 }
-
-// moveStuck gives waiting tasks of a record whose part has no room to a part
-// that has. Its owner's writes lose by the record's version.
-func (b *brain) moveStuck(hosts []*core.Host, r *rec, n int) bool {
-	spec := r.job.spec
-	if spec.Whole() && n < len(r.entries) && r.bound() == 0 {
-		n = len(r.entries) // a group that has not started moves whole
-	}
-	if spec.Gang && (r.bound() > 0 || len(r.job.recs) > 1) {
-		return false
-	}
-	perPart := make([]int, len(b.parts))
-	can := func(h *core.Host) bool {
-		return !h.Booting && h.Part != r.part && (h.Part != b.lentPart() || b.now.Sub(r.since) > poolYields) && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
-	}
-	trial := core.Clone(hosts)
-	for h, k := range core.Take(trial, can, r.job.need, n) {
-		perPart[h.Part] += k
-	}
-	best, most := -1, 0
-	for p, k := range perPart {
-		if k > most {
-			best, most = p, k
-		}
-	}
-	if best < 0 && n == 1 {
-		if h := core.Evictable(trial, can, r.job.need, r.claim()); h != nil {
-			best, most = h.Part, 1
-		}
-	}
-	taken := false
-	if spec.Whole() && r.bound() == 0 && most < n {
-		// A group that has not started, or lost all, may evict where it goes.
-		if best, taken = (&core.Dealing{Need: r.job.need, Count: n, Claim: r.claim(), Can: can}).Whole(hosts, len(b.parts)); !taken {
-			return false
-		}
-		most = n
-	}
-	if best < 0 {
-		return false
-	}
-	var move, stay []entry
-	for _, e := range r.entries {
-		if e.m == nil && len(move) < most {
-			move = append(move, e)
-		} else {
-			stay = append(stay, e)
-		}
-	}
-	if len(move) == 0 {
-		return false
-	}
-	in := func(h *core.Host) bool { return h.Part == best && can(h) }
-	if !taken {
-		core.Take(hosts, in, r.job.need, len(move))
-	}
-	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
-	left, moved := r.split(stay, move)
-	moved.part = best
-	if len(stay) == 0 {
-		u.Then = []wire.Change{{Put: r.key, Value: moved.value(r.done, move)}}
-	} else {
-		key := groupKey(r.job.id, r.job.newRec())
-		u.If = append(u.If, wire.Condition{Key: key})
-		u.Then = []wire.Change{{Put: r.key, Value: left.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
-	}
-	b.metrics.count(cMoved, 1)
-	b.log.Debug("tasks move to another part", "job", r.job.id, "tasks", len(move), "part", best)
-	b.lead.writes++
-	epoch := b.lead.epoch
-	b.write(u, func(err error) { b.leadWrote(epoch, err) })
-	return true
-}
--- a/internal/controller/gang.go
+++ b/internal/controller/gang.go
@@ -1,6 +1,11 @@
 package controller
 
 import (
+	"iter"
+	"slices"
+	"time"
+
+	"eiderhitch/internal/config"
 	"eiderhitch/internal/core"
 	"eiderhitch/internal/wire"
 )
@@ -77,18 +82,18 @@
 		if r.placed == 0 || j.spec == nil || !j.spec.Gang || j.fate != live {
 			continue
 		}
+		b.giveUpIncomplete(j)
 		attempt, _ := b.gangAttempt(j)
 		if j.told == attempt || !b.gangStops(j) {
 			continue
 		}
 		j.told = attempt
-		b.log.Debug("gang is stopped", "job", j.id, "attempt", attempt, "broken", b.broken(j))
 		for _, o := range j.recs {
-			for i := range o.entries {
-				if m := o.entries[i].m; m != nil {
-					b.kick(m)
-				}
-			}
+			b.cancelClaims(o, !o.writing) // what was to replace a task of it
+		}
+		b.log.Debug("gang is stopped", "job", j.id, "attempt", attempt, "broken", b.broken(j))
+		for m := range j.machines() {
+			b.kick(m)
 		}
 	}
 }
@@ -124,13 +129,65 @@
 // before it ran, which complete the attempt that waits for them.
 func (b *brain) placeGang(p *part, r *rec, pending []core.Task, request func(...core.Task) bool) {
 	j := r.job
+	if dealt, _ := j.dealt(); dealt < j.spec.Tasks || !j.together(p.n, r.zone) {
+		return // a group is reserved whole, in one part
+	}
 	for _, o := range j.recs {
-		if o.part != p.n || o.writing {
-			return // a group is reserved in one part
+		if o.writing {
+			return
 		}
 	}
-	if attempt, there := b.gangAttempt(j); there && (j.ran == attempt || j.spoilt == attempt || j.told == attempt) || j.finished {
+	if attempt, there := b.gangAttempt(j); there && (j.ran == attempt || j.spoilt == attempt || j.told == attempt) || j.isFinished() {
 		return // it starts again when all are back
 	}
 	request(pending...)
 }
+
+// complete tells whether every task of a gang's present attempt has a stored binding.
+// None is started before: a gang that takes several transactions to bind would hold
+// machines for tasks that can't run, if the rest fails.
+func (j *job) complete() bool {
+	n := 0
+	for _, r := range j.recs {
+		if r.placed < len(r.entries) {
+			return false
+		}
+		n += r.placed
+	}
+	return n == j.spec.Tasks
+}
+
+// isFinished tells whether a gang is done. Its tasks complete together, so one that is
+// stored as done speaks for all, also to a controller that never saw its report.
+func (j *job) isFinished() bool {
+	return j.finished || slices.ContainsFunc(j.recs, func(r *rec) bool { return r.done > 0 })
+}
+
+// giveUpIncomplete ends an attempt that was bound in part and can't be completed: without
+// room for the rest nothing would be started, nor given back.
+func (b *brain) giveUpIncomplete(j *job) {
+	attempt, there := b.gangAttempt(j)
+	switch {
+	case !there || j.complete():
+		j.incompleteSince = time.Time{}
+	case j.incompleteSince.IsZero():
+		j.incompleteSince = b.now
+	case b.now.Sub(j.incompleteSince) > config.Seconds(b.cfg.Settings.Workers.GangWaitS):
+		j.incompleteSince = time.Time{}
+		j.spoilt = max(j.spoilt, attempt)
+		b.log.Info("gang can't be completed and is bound anew", "job", j.id, "attempt", attempt)
+	}
+}
+
+// machines goes through the machines that a job's tasks are bound to, one for each task.
+func (j *job) machines() iter.Seq[*machine] {
+	return func(yield func(*machine) bool) {
+		for _, r := range j.recs {
+			for i := range r.entries {
+				if m := r.entries[i].m; m != nil && !yield(m) {
+					return
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/gang_size_test.go
@@ -0,0 +1,207 @@
+package controller
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/core"
+	"eiderhitch/internal/wire"
+)
+
+// storedBindings counts a job's tasks that are bound to a machine by what is stored, and
+// those that are dealt.
+func (c *cluster) storedBindings(id string) (bound, dealt int) {
+	for _, raw := range c.world.State.Values(preGroup + id + "/") {
+		var v groupValue
+		if err := json.Unmarshal(raw, &v); err != nil {
+			c.t.Error(err)
+		}
+		for _, e := range v.Tasks {
+			if e.Machine != "" {
+				bound++
+			}
+		}
+		dealt += len(v.Tasks)
+	}
+	return bound, dealt
+}
+
+// setStateLimits has the controllers started from now on keep limits of the state service.
+func (c *cluster) setStateLimits(valueKB float64, ops int) {
+	for _, n := range c.nodes {
+		n.cfg.Settings.State.ValueKB, n.cfg.Settings.State.TxnOps = valueKB, ops
+	}
+}
+
+// restartAll ends all controllers and starts them again a moment later.
+func (c *cluster) restartAll() {
+	for i := range c.nodes {
+		c.kill(i)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range c.nodes {
+		c.start(i)
+	}
+}
+
+// bigGang is a gang whose records and bindings take several transactions.
+func bigGang(tasks int, cpus float64) map[string]any {
+	b := gangBody("wk-9", "blue", "urgent", tasks, 10)
+	b["cpus"], b["ramGb"], b["hulls"] = cpus, 0.01, []string{"large"}
+	return b
+}
+
+// startsAfterBindings checks, until the gang runs, that no task of it is started before
+// the last of them has a stored binding.
+func (c *cluster) startsAfterBindings(tasks int) {
+	c.t.Helper()
+	for until := time.Now().Add(4 * time.Minute); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
+		started := c.world.Accepted("wk-9")
+		if started == 0 {
+			continue
+		}
+		if bound, _ := c.storedBindings("wk-9"); bound < tasks {
+			c.t.Fatalf("%d tasks are started when %d of %d are bound", started, bound, tasks)
+		}
+		if started == tasks {
+			return
+		}
+	}
+	c.t.Fatal("it is not started")
+}
+
+// A gang whose records and bindings are more than a transaction may carry runs, at the
+// present limits and at those that are to come; no task of it is started before all have
+// a stored binding.
+func TestGangBeyondOneTransaction(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		valueKB float64
+		ops     int
+		tasks   int
+		cpus    float64
+	}{
+		{"present limits", 8, 32, 3700, 0.04}, {"coming limits", 2, 10, 400, 0.25}, {"least limits", 0.5, 4, 60, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			inWorld(t, func(c *cluster) {
+				c.world.State.SetLimits(int(x.valueKB*1024), x.ops)
+				c.setStateLimits(x.valueKB, x.ops)
+				c.restartAll()
+				c.submit(bigGang(x.tasks, x.cpus))
+				c.startsAfterBindings(x.tasks)
+				c.awaitDone("wk-9", 2*time.Minute)
+				if n := c.world.Finished("wk-9"); n != x.tasks {
+					t.Errorf("%d tasks are done", n)
+				}
+			})
+		})
+	}
+}
+
+// What happens while such a gang is dealt or bound in part: whoever takes over completes
+// it or gives it back, a cancellation leaves nothing, lower limits split what is stored.
+func TestGangBoundInPart(t *testing.T) {
+	const tasks = 400
+	// dealtInPart and boundInPart tell whether a gang is between two transactions.
+	dealtInPart := func(_, dealt int) bool { return dealt > 0 && dealt < tasks }
+	boundInPart := func(bound, _ int) bool { return bound > 0 && bound < tasks }
+	for _, phase := range []struct {
+		name string
+		at   func(bound, dealt int) bool
+	}{{"dealt", dealtInPart}, {"bound", boundInPart}} {
+		for _, what := range []string{"all restart", "one restarts", "cancelled", "lower limits", "machine dies"} {
+			t.Run(phase.name+" in part, "+what, func(t *testing.T) {
+				inWorld(t, func(c *cluster) {
+					c.world.State.SetLimits(2<<10, 10)
+					c.setStateLimits(2, 10)
+					c.restartAll()
+					c.world.State.WriteRPS = 12 // it stays in part for a while
+					c.submit(bigGang(tasks, 0.25))
+					met := false
+					for until := time.Now().Add(2 * time.Minute); !met && time.Now().Before(until); time.Sleep(time.Millisecond) {
+						met = phase.at(c.storedBindings("wk-9"))
+					}
+					if !met {
+						t.Fatal("it is never in this phase")
+					}
+					switch what {
+					case "all restart":
+						c.restartAll()
+					case "one restarts":
+						c.kill(0)
+						time.Sleep(8 * time.Second)
+						c.start(0)
+					case "cancelled":
+						c.abort("wk-9")
+						c.await("its records are gone", time.Minute, func() bool { return len(c.world.State.Keys(preGroup)) == 0 })
+						if n := c.world.Accepted("wk-9"); n > 0 {
+							t.Errorf("%d tasks were started", n)
+						}
+						c.submit(bigGang(tasks, 0.25)) // it stays cancelled, and its cells are free
+						other := bigGang(tasks, 0.25)
+						other["nameId"] = "wk-10"
+						c.submit(other)
+						c.awaitDone("wk-10", 2*time.Minute)
+						return
+					case "lower limits":
+						c.world.State.SetLimits(1<<10, 8)
+						c.setStateLimits(1, 8)
+						c.restartAll()
+					case "machine dies":
+						c.world.Cloud.Workers()[0].Die()
+					}
+					c.world.SetQuiet()
+					c.awaitDone("wk-9", 3*time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// A gang that waits in a part without room goes to where there is room for it: another
+// part, or machines of several that are borrowed for it. The first transaction of a move
+// may be the last of its leader: the other records follow the first one.
+func TestGangMovesWhole(t *testing.T) {
+	b := loneAmong(t, 3)
+	spec := &wire.Job{ID: "wk-1", Team: "t", Gang: true, Tasks: 4, CPUs: 2, Priority: 1, OneZone: true}
+	b.put(jobKey("wk-1"), raw(t, jobValue{At: b.now.UnixMilli(), Job: spec}), 2)
+	b.put(groupKey("wk-1", 0), raw(t, groupValue{Part: 1, Zone: "a", Tasks: []entryValue{{Num: 0}, {Num: 1}}}), 3)
+	b.put(groupKey("wk-1", 1), raw(t, groupValue{Part: 0, Zone: "a", Tasks: []entryValue{{Num: 2}, {Num: 3}}}), 4)
+	j := b.jobs["wk-1"]
+	if j.together(1, "a") {
+		t.Fatal("the records are together")
+	}
+	b.gatherGangs()
+	if b.lead.writes != 1 {
+		t.Errorf("%d transactions have the records follow the first", b.lead.writes)
+	}
+	b.lead.writes = 0
+	b.put(groupKey("wk-1", 1), raw(t, groupValue{Part: 1, Zone: "a", Tasks: []entryValue{{Num: 2}, {Num: 3}}}), 5)
+	b.gatherGangs()
+	if b.lead.writes != 0 {
+		t.Error("records that are together move")
+	}
+	host := func(id int32, part int, free float64) *core.Host {
+		name := []string{"host-1", "host-2", "host-3"}[id]
+		if m := b.machine(name); m.idx != id {
+			t.Fatal("machines are numbered otherwise")
+		}
+		h := &core.Host{ID: id, Type: "small", Zone: "a", Part: part, Size: core.Amount(4, 0, 8), Free: core.Amount(free, 0, 8)}
+		if free < 4 {
+			h.Claims = []core.HeldCell{{Claim: core.Claim{Level: 3}, Size: h.Size.Minus(h.Free)}}
+		}
+		return h
+	}
+	if b.moveGang([]*core.Host{host(0, 0, 4), host(1, 1, 2), host(2, 1, 2)}, j) {
+		t.Error("it moves or borrows where there is no room for all of it")
+	}
+	if !b.moveGang([]*core.Host{host(0, 0, 4), host(1, 0, 4), host(2, 1, 0)}, j) || b.lead.writes != 1 {
+		t.Error("it does not move to the part with room")
+	}
+	b.lead.writes = 0
+	if !b.moveGang([]*core.Host{host(0, 0, 4), host(1, 1, 4), host(2, 1, 0)}, j) || b.lead.writes != 1 {
+		t.Error("no machines of two parts are borrowed for it")
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -74,6 +74,7 @@
 	b.notePool(hosts)
 	b.tendLends(hosts)
 	b.fillPool(hosts)
+	b.gatherGangs()
 	if b.lead.writes > 0 {
 		return
 	}
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -120,16 +120,7 @@
 // borrow takes machines from other parts for a whole group of n tasks. It
 // reports whether they are on their way.
 func (b *brain) borrow(hosts []*core.Host, j *job, zone string, n int, c core.Claim) bool {
-	coming := 0
-	for name, l := range b.lends {
-		if l.Job != j.id {
-			continue
-		}
-		m := b.machine(name)
-		if t := b.types[m.typ]; t != nil {
-			coming += core.Amount(t.CPUs, t.GPUs, t.RAM).Fits(j.need, n)
-		}
-	}
+	coming := b.roomComing(hosts, j, zone, n)
 	if coming >= n {
 		return true
 	}
@@ -158,14 +149,40 @@
 		coming += h.Size.Fits(j.need, n)
 		chosen = append(chosen, h)
 	}
-	if coming < n || len(chosen) == 0 || len(chosen) > b.cfg.Settings.State.TxnOps {
+	if coming < n || len(chosen) == 0 {
 		return false
 	}
+	// As many as one change can be; the others follow in the next steps.
+	chosen = chosen[:min(len(chosen), b.cfg.Settings.State.TxnOps)]
 	b.log.Info("machines are borrowed for a group", "job", j.id, "machines", len(chosen))
 	b.borrowMachines(chosen, []wire.Condition{{Key: jobKey(j.id), Version: j.stamp}}, lendValue{Job: j.id, Level: c.Level, Own: c.Own, Team: j.spec.Team})
 	return true
 }
 
+// roomComing is for how many of n tasks of a job there is room in the leader's part, or
+// will be once the machines that are being lent for it have come.
+func (b *brain) roomComing(hosts []*core.Host, j *job, zone string, n int) int {
+	room := 0
+	listed := map[int32]bool{}
+	for _, h := range hosts {
+		listed[h.ID] = true
+		l := b.lends[b.byIdx[h.ID].name]
+		if h.Part != b.lentPart() || l == nil || l.Job != j.id && !j.spec.Gang || !allowed(j.spec, zone, h.Type, h.Zone, h.Spot) {
+			continue
+		}
+		room += h.Free.Fits(j.need, n)
+	}
+	for name, l := range b.lends {
+		m := b.machine(name)
+		t := b.types[m.typ]
+		if l.Job != j.id || listed[m.idx] || t == nil || !allowed(j.spec, zone, m.typ, m.zone, m.spot) {
+			continue
+		}
+		room += core.Amount(t.CPUs, t.GPUs, t.RAM).Fits(j.need, n)
+	}
+	return room
+}
+
 // borrowMachines lends machines to the leader's part, if the parts that they are in have
 // not changed hands meanwhile.
 func (b *brain) borrowMachines(chosen []*core.Host, cond []wire.Condition, v lendValue) {
@@ -210,10 +227,7 @@
 		j := b.jobs[l.Job]
 		needed := j != nil && j.fate == live && j.spec != nil && !m.gone
 		if needed {
-			needed = len(j.recs) == 0
-			for _, r := range j.recs {
-				needed = needed || r.part == p.n && r.bound() < len(r.entries)
-			}
+			needed = b.needsLoan(j, p.n) && (m.typ == "" || allowed(j.spec, b.pinned(j), m.typ, m.zone, m.spot))
 		}
 		// An owner that does not let go in time may have higher work there by now.
 		patience := b.lease + 2*config.Seconds(b.cfg.Settings.Workers.ReportS) + 10*time.Second
@@ -230,6 +244,20 @@
 	}
 }
 
+// needsLoan tells whether a job has tasks that machines lent to a part are for: some that
+// wait there, or a whole group that waits and has found no room where it was dealt to.
+func (b *brain) needsLoan(j *job, part int) bool {
+	waits, bound := len(j.recs) == 0, 0
+	for _, r := range j.recs {
+		waits = waits || r.bound() < len(r.entries)
+		bound += r.bound()
+		if r.part == part && r.bound() < len(r.entries) {
+			return true
+		}
+	}
+	return waits && bound == 0
+}
+
 // claimed tells whether a cell of a machine is claimed whose binding is not known yet.
 func (p *part) claimed(m *machine) bool {
 	for _, a := range p.alloc {
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -350,6 +350,7 @@
 	if len(shown) == len(m.bound) {
 		return
 	}
+	stop := stopCheck{b: b}
 	for _, x := range m.bound {
 		t, r := x.task, x.rec
 		e := r.find(t.Num)
@@ -360,7 +361,7 @@
 			b.end(r, e, outcome{attempt: e.attempt}) // the earlier session killed all
 			continue
 		}
-		if settled && !shown.has(t) && b.wantStop(r, t, m, p) {
+		if settled && !shown.has(t) && stop.wants(r, t, m, p) {
 			b.end(r, e, outcome{attempt: e.attempt})
 		}
 	}
@@ -528,6 +529,24 @@
 	return r.job.fate != live || b.mustLeave(r, t, m, p)
 }
 
+// stopCheck asks wantStop for the tasks of one machine, and once for all those of a gang:
+// whether a gang stops is known only from all of its tasks, of which there may be thousands.
+type stopCheck struct {
+	b     *brain
+	gang  *job
+	stops bool
+}
+
+func (c *stopCheck) wants(r *rec, t core.Task, m *machine, p *part) bool {
+	if r.job.spec == nil || !r.job.spec.Gang {
+		return c.b.wantStop(r, t, m, p)
+	}
+	if c.gang != r.job {
+		c.gang, c.stops = r.job, c.b.wantStop(r, t, m, p)
+	}
+	return c.stops
+}
+
 // mustLeave tells whether a task has to leave its machine.
 func (b *brain) mustLeave(r *rec, t core.Task, m *machine, p *part) bool {
 	if c := p.cells.CellOf(t); c != nil && c.State == core.Reserving || r.excess(t.Num) {
@@ -546,6 +565,7 @@
 	var there []string // tasks with an attempt that can't be reaped yet
 	shown := make(shownTasks, 0, len(m.tasks))
 	open := m.openDo == p.term || m.doStart || m.respOpen
+	stop := stopCheck{b: b}
 	for i := range m.tasks {
 		t := &m.tasks[i]
 		_, r, e := b.lookup(t.Task)
@@ -563,7 +583,7 @@
 			continue
 		}
 		shown.add(r.task(e.num))
-		if t.State == wire.Exited || !b.wantStop(r, r.task(e.num), m, p) {
+		if t.State == wire.Exited || !stop.wants(r, r.task(e.num), m, p) {
 			continue
 		}
 		grace := b.grace(r.job)
@@ -580,12 +600,15 @@
 	for _, x := range m.bound {
 		t, r := x.task, x.rec
 		e := r.find(t.Num)
-		if e == nil || shown.has(t) || e.session != m.session || b.wantStop(r, t, m, p) {
+		if e == nil || shown.has(t) || e.session != m.session || stop.wants(r, t, m, p) {
 			continue
 		}
 		if o, ok := b.outcomes[t]; ok && o.attempt == e.attempt {
 			continue
 		}
+		if spec := r.job.spec; spec != nil && spec.Gang && !r.job.complete() {
+			continue
+		}
 		if name := taskName(r.job.id, t.Num); !slices.Contains(there, name) { // it would be refused
 			starts = append(starts, wire.Command{Op: wire.OpStart, Task: name, Attempt: e.attempt})
 		}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -124,6 +124,8 @@
 	// was told to stop; and whether a task of it, and so all, got done.
 	ran, spoilt, told uint64
 	finished          bool
+	// incompleteSince is since when only some tasks of a gang's attempt have been bound.
+	incompleteSince time.Time
 }
 
 // newRec is the number of a record that the job has never had.
--- a/internal/controller/rows_test.go
+++ b/internal/controller/rows_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"net/http"
 	"testing"
 	"time"
@@ -13,39 +14,42 @@
 // docs/meetings.md for the lines of the code that each is about.
 func TestMeetings(t *testing.T) {
 	const on = 0.0 // seconds at which long faults begin
+	const usualSeed = 7
 	for _, x := range []struct {
 		name   string
 		jobs   int
 		faults []fault
+		seed   uint64 // 0: usualSeed
 	}{
-		{"cancelled while one controller's work changes hands", 14, []fault{{5, "kill", 0, 8, 0}, {5.2, "cancel", 4, 0, 0}, {6, "cancel", 3, 0, 0}, {8, "cancel", 3, 0, 0}, {9.5, "cancel", 3, 0, 0}}},
-		{"late transactions after newer ones", 12, []fault{{on, "late writes", all, 60, 0.3}, {5, "jobs", 6, 0, 0}, {12, "cancel", 4, 0, 0}, {20, "kill", leading, 0.4, 0}, {30, "jobs", 6, 0, 0}, {31, "cancel", 4, 0, 0}, {40, "kill", 1, 6, 0}}},
-		{"cancellation, question and submission at the end", 16, []fault{{on, "cancel at end", 0, 90, 0.5}, {10, "jobs", 10, 0, 0}, {25, "jobs", 10, 0, 0}}},
-		{"all nodes asked within milliseconds", 12, []fault{{on, "close looks", 0, 80, 0}, {on, "cancel at end", 0, 80, 0.4}, {5, "jobs", 8, 0, 0}, {10, "cancel", 4, 0, 0}, {20, "kill", leading, 5, 0}, {22, "jobs", 8, 0, 0}, {24, "cancel", 6, 0, 0}}},
-		{"report kept until a new leader has acted", 12, []fault{{5, "keep reports", 0, 0, 0}, {6, "kill", leading, 12, 0}, {7, "die", 2, 0, 0}, {14, "kept reports arrive", 0, 0, 0}, {25, "kept reports arrive", 0, 0, 0}}},
-		{"one-task jobs four a second", 4, []fault{{on, "one-task jobs", 0, 120, 0}, {40, "kill", leading, 5, 0}, {70, "close looks", 0, 20, 0}}},
-		{"leader ends while machines can't be reached", 14, []fault{{5, "cut", 3, 25, 0}, {5, "deaf", 3, 25, 0}, {6, "kill", leading, 20, 0}, {9, "cancel", 3, 0, 0}}},
-		{"leader cut off with its workers", 14, []fault{{5, "alone", leading, 60, 0}, {12, "cancel", 6, 0, 0}, {14, "cancel", 3, 0, 0}}},
-		{"old report after newer ones", 12, []fault{{on, "copies", 0, 80, 0.5}, {on, "old copies", 0, 80, 0.3}, {10, "back at once", 2, 0, 0}, {20, "die", 2, 0, 0}, {30, "kill", leading, 0.5, 0}, {40, "back at once", 3, 0, 0}}},
-		{"commands held up", 12, []fault{{on, "late commands", all, 60, 0.6}, {5, "hang", 3, 6, 0}, {15, "cancel", 4, 0, 0}, {25, "hang", 3, 9, 0}, {26, "cancel", 4, 0, 0}}},
-		{"zone-bound jobs lose machines", 18, []fault{{8, "die", 4, 0, 0}, {20, "die", 4, 0, 0}, {30, "cut", 3, 20, 0}}},
-		{"answers to transactions lost while others read", 12, []fault{{on, "lost answers", all, 70, 0.4}, {on, "close looks", 0, 70, 0}, {10, "jobs", 8, 0, 0}, {15, "cancel", 5, 0, 0}, {30, "kill", leading, 5, 0}, {35, "cancel at end", 0, 30, 0.5}}},
-		{"teams at their limit, cancelled on cut and hung machines", 24, []fault{{10, "cut", 3, 30, 0}, {10, "hang", 3, 9, 0}, {11, "cancel", 8, 0, 0}, {12, "kill", leading, 12, 0}, {15, "jobs", 10, 0, 0}}},
-		{"new machines at once while writes lag, leader ends", 10, []fault{{on, "slow state", all, 50, 0.5}, {1, "jobs", 12, 0, 0}, {4, "kill", leading, 8, 0}, {14, "die", 3, 0, 0}, {16, "kill", leading, 0.3, 0}}},
-		{"mute machines", 14, []fault{{5, "mute", 4, 30, 0}, {7, "kill", leading, 10, 0}, {12, "cancel", 4, 0, 0}}},
-		{"slow, then refused alone, then down for all", 14, []fault{{on, "slow state", all, 10, 0.5}, {10, "state refuses", leading, 10, 0}, {11, "cancel", 6, 0, 0}, {13, "outage", 0, 45, 0}, {14, "cancel", 3, 0, 0}}},
-		{"hand over and back, all end, one returns", 14, []fault{{5, "kill", 0, 8, 0}, {20, "kill", 1, 0.5, 0}, {25, "kill", all, 0.3, 0}, {25.2, "cancel", 3, 0, 0}, {40, "kill", 0, 30, 0}, {41, "kill", 1, 20, 0}, {42, "kill", 2, 0.8, 0}}},
-		{"ten leaders in two minutes, also in an outage", 14, []fault{{5, "kill", leading, 1, 0}, {17, "kill", leading, 1, 0}, {29, "kill", leading, 0.2, 0}, {41, "kill", leading, 6, 0}, {45, "outage", 0, 25, 0}, {53, "kill", leading, 1, 0}, {65, "kill", leading, 1, 0}, {75, "cancel", 4, 0, 0}, {77, "kill", leading, 1, 0}, {89, "kill", leading, 5, 0}, {101, "kill", leading, 1, 0}, {113, "kill", leading, 1, 0}}},
-		{"all away for longer than a lease", 14, []fault{{5, "cancel", 3, 0, 0}, {5.5, "kill", all, 15, 0}, {40, "keep reports", 0, 0, 0}, {41, "kill", all, 13, 0}, {55, "kept reports arrive", 0, 0, 0}}},
-		{"few long tasks across a change of leader", 20, []fault{{10, "kill", leading, 9, 0}, {30, "kill", leading, 0.4, 0}, {40, "late writes", all, 20, 0.3}}},
-		{"old reports just as a leader begins", 12, []fault{{5, "keep reports", 0, 0, 0}, {8, "back at once", 3, 0, 0}, {9, "kill", all, 0.5, 0}, {9.6, "kept reports arrive", 0, 0, 0}, {11, "kept reports arrive", 0, 0, 0}}},
-		{"limit, change of leader, unreachable machines, cancellation", 24, []fault{{10, "deaf", 3, 25, 0}, {10, "cut", 2, 25, 0}, {11, "kill", leading, 6, 0}, {13, "cancel", 6, 0, 0}, {14, "jobs", 8, 0, 0}}},
-		{"more work than room over slow links", 30, []fault{{on, "slow state", all, 60, 0.3}, {on, "late commands", all, 60, 0.3}, {10, "jobs", 20, 0, 0}, {20, "cancel", 6, 0, 0}}},
-		{"cancelled as the leader is refused, then an outage", 14, []fault{{5, "state refuses", leading, 12, 0}, {5, "cancel", 6, 0, 0}, {6, "outage", 0, 45, 0}}},
-		{"zone cut for longer than a lease", 16, []fault{{8, "zone", 0, 25, 0}, {9, "cancel", 4, 0, 0}, {12, "kill", leading, 5, 0}, {14, "cancel", 3, 0, 0}}},
-		{"odd requests, restarts", 10, []fault{{on, "odd requests", 0, 70, 0}, {10, "kill", leading, 4, 0}, {20, "cancel", 4, 0, 0}, {30, "kill", all, 1, 0}}},
+		{"cancelled while one controller's work changes hands", 14, []fault{{5, "kill", 0, 8, 0}, {5.2, "cancel", 4, 0, 0}, {6, "cancel", 3, 0, 0}, {8, "cancel", 3, 0, 0}, {9.5, "cancel", 3, 0, 0}}, 0},
+		{"late transactions after newer ones", 12, []fault{{on, "late writes", all, 60, 0.3}, {5, "jobs", 6, 0, 0}, {12, "cancel", 4, 0, 0}, {20, "kill", leading, 0.4, 0}, {30, "jobs", 6, 0, 0}, {31, "cancel", 4, 0, 0}, {40, "kill", 1, 6, 0}}, 0},
+		{"cancellation, question and submission at the end", 16, []fault{{on, "cancel at end", 0, 90, 0.5}, {10, "jobs", 10, 0, 0}, {25, "jobs", 10, 0, 0}}, 0},
+		{"all nodes asked within milliseconds", 12, []fault{{on, "close looks", 0, 80, 0}, {on, "cancel at end", 0, 80, 0.4}, {5, "jobs", 8, 0, 0}, {10, "cancel", 4, 0, 0}, {20, "kill", leading, 5, 0}, {22, "jobs", 8, 0, 0}, {24, "cancel", 6, 0, 0}}, 0},
+		{"report kept until a new leader has acted", 12, []fault{{5, "keep reports", 0, 0, 0}, {6, "kill", leading, 12, 0}, {7, "die", 2, 0, 0}, {14, "kept reports arrive", 0, 0, 0}, {25, "kept reports arrive", 0, 0, 0}}, 0},
+		{"one-task jobs four a second", 4, []fault{{on, "one-task jobs", 0, 120, 0}, {40, "kill", leading, 5, 0}, {70, "close looks", 0, 20, 0}}, 0},
+		{"leader ends while machines can't be reached", 14, []fault{{5, "cut", 3, 25, 0}, {5, "deaf", 3, 25, 0}, {6, "kill", leading, 20, 0}, {9, "cancel", 3, 0, 0}}, 0},
+		{"leader cut off with its workers", 14, []fault{{5, "alone", leading, 60, 0}, {12, "cancel", 6, 0, 0}, {14, "cancel", 3, 0, 0}}, 0},
+		{"old report after newer ones", 12, []fault{{on, "copies", 0, 80, 0.5}, {on, "old copies", 0, 80, 0.3}, {10, "back at once", 2, 0, 0}, {20, "die", 2, 0, 0}, {30, "kill", leading, 0.5, 0}, {40, "back at once", 3, 0, 0}}, 0},
+		{"commands held up", 12, []fault{{on, "late commands", all, 60, 0.6}, {5, "hang", 3, 6, 0}, {15, "cancel", 4, 0, 0}, {25, "hang", 3, 9, 0}, {26, "cancel", 4, 0, 0}}, 0},
+		{"zone-bound jobs lose machines", 18, []fault{{8, "die", 4, 0, 0}, {20, "die", 4, 0, 0}, {30, "cut", 3, 20, 0}}, 0},
+		{"answers to transactions lost while others read", 12, []fault{{on, "lost answers", all, 70, 0.4}, {on, "close looks", 0, 70, 0}, {10, "jobs", 8, 0, 0}, {15, "cancel", 5, 0, 0}, {30, "kill", leading, 5, 0}, {35, "cancel at end", 0, 30, 0.5}}, 0},
+		{"teams at their limit, cancelled on cut and hung machines", 24, []fault{{10, "cut", 3, 30, 0}, {10, "hang", 3, 9, 0}, {11, "cancel", 8, 0, 0}, {12, "kill", leading, 12, 0}, {15, "jobs", 10, 0, 0}}, 0},
+		{"new machines at once while writes lag, leader ends", 10, []fault{{on, "slow state", all, 50, 0.5}, {1, "jobs", 12, 0, 0}, {4, "kill", leading, 8, 0}, {14, "die", 3, 0, 0}, {16, "kill", leading, 0.3, 0}}, 0},
+		{"mute machines", 14, []fault{{5, "mute", 4, 30, 0}, {7, "kill", leading, 10, 0}, {12, "cancel", 4, 0, 0}}, 0},
+		{"slow, then refused alone, then down for all", 14, []fault{{on, "slow state", all, 10, 0.5}, {10, "state refuses", leading, 10, 0}, {11, "cancel", 6, 0, 0}, {13, "outage", 0, 45, 0}, {14, "cancel", 3, 0, 0}}, 0},
+		{"hand over and back, all end, one returns", 14, []fault{{5, "kill", 0, 8, 0}, {20, "kill", 1, 0.5, 0}, {25, "kill", all, 0.3, 0}, {25.2, "cancel", 3, 0, 0}, {40, "kill", 0, 30, 0}, {41, "kill", 1, 20, 0}, {42, "kill", 2, 0.8, 0}}, 0},
+		{"ten leaders in two minutes, also in an outage", 14, []fault{{5, "kill", leading, 1, 0}, {17, "kill", leading, 1, 0}, {29, "kill", leading, 0.2, 0}, {41, "kill", leading, 6, 0}, {45, "outage", 0, 25, 0}, {53, "kill", leading, 1, 0}, {65, "kill", leading, 1, 0}, {75, "cancel", 4, 0, 0}, {77, "kill", leading, 1, 0}, {89, "kill", leading, 5, 0}, {101, "kill", leading, 1, 0}, {113, "kill", leading, 1, 0}}, 0},
+		{"all away for longer than a lease", 14, []fault{{5, "cancel", 3, 0, 0}, {5.5, "kill", all, 15, 0}, {40, "keep reports", 0, 0, 0}, {41, "kill", all, 13, 0}, {55, "kept reports arrive", 0, 0, 0}}, 0},
+		{"few long tasks across a change of leader", 20, []fault{{10, "kill", leading, 9, 0}, {30, "kill", leading, 0.4, 0}, {40, "late writes", all, 20, 0.3}}, 0},
+		{"old reports just as a leader begins", 12, []fault{{5, "keep reports", 0, 0, 0}, {8, "back at once", 3, 0, 0}, {9, "kill", all, 0.5, 0}, {9.6, "kept reports arrive", 0, 0, 0}, {11, "kept reports arrive", 0, 0, 0}}, 0},
+		{"limit, change of leader, unreachable machines, cancellation", 24, []fault{{10, "deaf", 3, 25, 0}, {10, "cut", 2, 25, 0}, {11, "kill", leading, 6, 0}, {13, "cancel", 6, 0, 0}, {14, "jobs", 8, 0, 0}}, 0},
+		{"more work than room over slow links", 30, []fault{{on, "slow state", all, 60, 0.3}, {on, "late commands", all, 60, 0.3}, {10, "jobs", 20, 0, 0}, {20, "cancel", 6, 0, 0}}, 0},
+		{"cancelled as the leader is refused, then an outage", 14, []fault{{5, "state refuses", leading, 12, 0}, {5, "cancel", 6, 0, 0}, {6, "outage", 0, 45, 0}}, 0},
+		{"zone cut for longer than a lease", 16, []fault{{8, "zone", 0, 25, 0}, {9, "cancel", 4, 0, 0}, {12, "kill", leading, 5, 0}, {14, "cancel", 3, 0, 0}}, 0},
+		{"odd requests, restarts", 10, []fault{{on, "odd requests", 0, 70, 0}, {10, "kill", leading, 4, 0}, {20, "cancel", 4, 0, 0}, {30, "kill", all, 1, 0}}, 0},
+		{"a gang dealt to a part that has lost its room", 10, []fault{{1.8, "cut", 2, 15.7, 0}, {24.8, "old copies", 0, 41.5, 0.3}, {26.7, "hang", 2, 13.6, 0}, {31, "close looks", 0, 38.8, 0}, {31.3, "copies", 0, 42.5, 0.3}, {32.4, "kill", all, 0.5, 0}, {34.6, "kill", all, 0.5, 0}, {59.1, "close looks", 0, 43.9, 0}}, 1004},
 	} {
-		t.Run(x.name, func(t *testing.T) { play(t, 7, x.jobs, x.faults) })
+		t.Run(x.name, func(t *testing.T) { play(t, cmp.Or(x.seed, usualSeed), x.jobs, x.faults) })
 	}
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -89,6 +89,19 @@
 	return n
 }
 
+// Values are the stored values below prefix, by key.
+func (s *State) Values(prefix string) map[string]json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]json.RawMessage{}
+	for k, v := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out[k] = v.raw
+		}
+	}
+	return out
+}
+
 // Keys lists the stored keys below prefix.
 func (s *State) Keys(prefix string) []string {
 	s.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -111,6 +111,19 @@
 	return w.starts
 }
 
+// Accepted counts the starts of a job's tasks that workers have accepted so far.
+func (w *World) Accepted(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for i := range w.trace {
+		if e := &w.trace[i]; e.Kind == TaskHeld && jobOf(e.Task) == id {
+			n++
+		}
+	}
+	return n
+}
+
 // Running counts a job's tasks that are on machines.
 func (w *World) Running(id string) int {
 	w.mu.Lock()
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -45,8 +45,8 @@
 // first tells whether a unit goes before all others and doesn't wait for the pace.
 func (u *Unit) first() bool { return u.Urgent || u.Prompt }
 
-// maxTxnBytes leaves room below the 64 KiB that a transaction may have.
-const maxTxnBytes = 56 << 10
+// MaxTxnBytes leaves room below the 64 KiB that a transaction may have.
+const MaxTxnBytes = 56 << 10
 
 // maxContested is how many changes a transaction with contested ones may have.
 const maxContested = 4
@@ -171,7 +171,7 @@
 	if contested {
 		ops = min(ops, maxContested)
 	}
-	return n <= ops && conds <= 3*ops && size <= maxTxnBytes
+	return n <= ops && conds <= 3*ops && size <= MaxTxnBytes
 }
 
 // gather waits for a unit and takes those that are queued behind it and fit, and
