Room kept for gangs yields when it is unused; events of tests in one order

Now fates follow from seed, time and request, no two messages take the same time, and lists are sorted. What is left is the order of calls that one controller makes at one moment.

--- a/internal/controller/brain.go
+++ b/internal/controller/brain.go
@@ -76,6 +76,7 @@
 	byIdx    []*machine
 	siblings map[string]*sibling
 	send     func(frame []byte)
+	jitter   func(time.Duration) time.Duration
 	lead     leader
 	closing  map[string]bool // machines that the leader wants to return
 	// Machines that are being released, and those of them not asked for yet.
@@ -537,21 +538,24 @@
 	b.file(r, v.Part)
 	r.size = size
 	r.stamp, r.part, r.zone, r.own, r.done, r.cap = stamp, v.Part, v.Zone, v.Own, v.Done, v.Cap
-	r.entries = make([]entry, 0, len(v.Tasks))
+	entries := make([]entry, 0, len(v.Tasks))
 	placed := 0
 	for _, x := range v.Tasks {
 		e := entry{num: x.Num, attempt: x.Attempt, session: x.Session}
 		if x.Machine != "" {
 			e.m = b.machine(x.Machine)
+			if e.m.home == b.lentPart() && !r.binds(x.Num, x.Attempt, e.m) {
+				e.m.usedAt = b.now
+			}
 			e.m.bound.add(r.task(x.Num), r)
 			e.m.introduce(x.Addr, x.Session)
 			b.enlist(e.m) // one that is gone may have been forgotten
 			placed++
 		}
-		r.entries = append(r.entries, e)
+		entries = append(entries, e)
 		r.job.loc[x.Num] = r
 	}
-	r.placed = placed
+	r.entries, r.placed = entries, placed
 	b.adopt(r)
 	for i := range r.entries {
 		if m := r.entries[i].m; m != nil && r.excess(r.entries[i].num) {
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -152,7 +152,7 @@
 		zone = b.pinned(j)
 	}
 	can := func(h *core.Host) bool {
-		return !h.Booting && (h.Part != b.lentPart() || b.mayUsePool(j)) && allowed(j.spec, zone, h.Type, h.Zone, h.Spot)
+		return !h.Booting && b.poolOpen(j, h) && allowed(j.spec, zone, h.Type, h.Zone, h.Spot)
 	}
 	for _, h := range hosts {
 		if can(h) && h.Free.Holds(j.need) {
@@ -190,6 +190,11 @@
 			in := func(h *core.Host) bool {
 				return h.Part == r.part && !h.Booting && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
 			}
+			if spec.Gang && r.part == b.lentPart() && roomFor(hosts, in, r.job.need, n) < n {
+				// It gathers room there, but holds none for long that it can't use.
+				any := in
+				in = func(h *core.Host) bool { return any(h) && !b.unusedForLong(h) }
+			}
 			for _, k := range core.Take(hosts, in, r.job.need, n) {
 				n -= k
 			}
@@ -221,6 +226,17 @@
 	return wants, lost
 }
 
+// roomFor is for how many of n tasks hosts have free room.
+func roomFor(hosts []*core.Host, in func(*core.Host) bool, need core.Res, n int) int {
+	room := 0
+	for _, h := range hosts {
+		if in(h) {
+			room += h.Free.Fits(need, n-room)
+		}
+	}
+	return room
+}
+
 // slack is the time until a job's deadline, or until it should be done all the same.
 func (b *brain) slack(j *job) float64 {
 	if j.spec.NoDeadline {
@@ -321,7 +337,7 @@
 			continue
 		}
 		can := func(h *core.Host) bool {
-			return !h.Booting && (h.Part != b.lentPart() || i >= pooled || b.mayUsePool(j)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
+			return !h.Booting && (i >= pooled || b.poolOpen(j, h)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
 		}
 		d := core.Dealing{Need: j.need, Count: n, Claim: claim, Can: can, Tight: tight, Must: must}
 		if spec.Whole() {
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,6 +42,9 @@
 	return core.Claim{Level: l.Level, Own: l.Own, Team: b.team(l.Team)}
 }
 
+// lentNames are the machines that are lent, in one order for all that is decided.
+func (b *brain) lentNames() []string { return slices.Sorted(maps.Keys(b.lends)) }
+
 // lentPart is the number of the leader's own part.
 func (b *brain) lentPart() int { return len(b.parts) - 1 }
 
@@ -86,8 +90,8 @@
 // acknowledge hands over machines of a part of ours on which nothing is bound
 // or about to be.
 func (b *brain) acknowledge(p *part) {
-	for name, l := range b.lends {
-		m := b.machine(name)
+	for _, name := range b.lentNames() {
+		l, m := b.lends[name], b.machine(name)
 		if l.Ack || l.writing || m.hash != p.n || len(m.bound) > 0 {
 			continue
 		}
@@ -207,8 +211,8 @@
 // needed: nothing stays lent for ever.
 func (b *brain) tendLends(hosts []*core.Host) {
 	p := b.parts[b.lentPart()]
-	for name, l := range b.lends {
-		m := b.machine(name)
+	for _, name := range b.lentNames() {
+		l, m := b.lends[name], b.machine(name)
 		if l.Ack && l.stamp > p.term {
 			p.raise = true // the former owner's tokens are below this stamp
 		}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -22,6 +22,7 @@
 	home                  int        // the part that it is in now
 	listed                bool       // among that part's machines
 	homeAt                time.Time  // when it last came to another part
+	usedAt                time.Time  // when a task was last bound to it there, of one that is lent
 	bound                 boundTasks // by stored bindings
 	gone                  bool
 
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -38,6 +39,7 @@
 // scene is a cluster at work, to which faults happen.
 type scene struct {
 	*cluster
+	seed   uint64
 	rng    *rand.Rand
 	judges []map[int]func(*http.Request) standin.Fate // by controller, of the faults that last
 	nextJ  int
@@ -122,9 +124,7 @@
 		if !is(r) {
 			return standin.Deliver
 		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.rng.Float64() < part {
+		if standin.Draw(s.seed, r.URL.String()) < part {
 			return fate
 		}
 		return standin.Deliver
@@ -359,10 +359,9 @@
 	ws := s.world.Cloud.Workers()
 	for _, w := range ws {
 		w.OnReport(func(raw []byte) {
-			s.mu.Lock()
-			again, node := s.rng.Float64() < part, s.rng.IntN(len(s.nodes))
-			later := least + time.Duration(s.rng.Int64N(int64(12*time.Second)))
-			s.mu.Unlock()
+			again := standin.Draw(s.seed, w.Name()) < part
+			node := int(standin.Draw(s.seed+1, w.Name()) * float64(len(s.nodes)))
+			later := least + time.Duration(standin.Draw(s.seed+2, w.Name())*float64(12*time.Second))
 			if again {
 				time.AfterFunc(later, func() { s.resend(raw, node) })
 			}
@@ -489,7 +488,7 @@
 // accepted is done, runs or is gone. Whatever happens is checked from outside.
 func play(t *testing.T, seed uint64, jobs int, faults []fault) {
 	inWorld(t, func(c *cluster) {
-		s := &scene{cluster: c, rng: rand.New(rand.NewPCG(seed, 11)), specs: map[string]map[string]any{}, lasts: map[string]bool{}, called: map[string]bool{}, kept: map[string][]byte{}}
+		s := &scene{cluster: c, seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), specs: map[string]map[string]any{}, lasts: map[string]bool{}, called: map[string]bool{}, kept: map[string][]byte{}}
 		for range c.nodes {
 			s.judges = append(s.judges, map[int]func(*http.Request) standin.Fate{})
 		}
@@ -498,8 +497,8 @@
 			n.net.Judge(func(r *http.Request) standin.Fate {
 				s.mu.Lock()
 				var fs []func(*http.Request) standin.Fate
-				for _, f := range s.judges[i] {
-					fs = append(fs, f)
+				for _, id := range slices.Sorted(maps.Keys(s.judges[i])) {
+					fs = append(fs, s.judges[i][id])
 				}
 				s.mu.Unlock()
 				for _, f := range fs {
@@ -514,6 +513,7 @@
 		c.world.Cloud.SetCapacity([]int{20, 8, 5}[seed%3])
 		for range jobs {
 			s.newJob()
+			time.Sleep(time.Millisecond)
 		}
 		c.await("work runs", time.Minute, func() bool { return c.world.Starts() > jobs })
 		type ending struct {
@@ -578,7 +578,7 @@
 }
 
 // combinations is how many generated schedules are played; a long search plays more.
-var combinations = flag.Int("combinations", 8, "generated schedules of faults to play")
+var combinations = flag.Int("combinations", 24, "generated schedules of faults to play")
 
 // firstSeed is where they begin.
 var firstSeed = flag.Uint64("first-seed", 1, "seed of the first generated schedule")
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -35,7 +35,7 @@
 	}
 	room := map[string]int{}
 	for _, h := range hosts {
-		if !h.Booting && (h.Part != b.lentPart() || b.mayUsePool(j)) && allowed(spec, "", h.Type, h.Zone, h.Spot) {
+		if !h.Booting && b.poolOpen(j, h) && allowed(spec, "", h.Type, h.Zone, h.Spot) {
 			room[h.Zone] += h.Free.Fits(j.need, need)
 		}
 	}
@@ -77,7 +77,7 @@
 	}
 	perPart := make([]int, len(b.parts))
 	can := func(h *core.Host) bool {
-		return !h.Booting && h.Part != r.part && (h.Part != b.lentPart() || spec.Whole() && b.lentFor(r.job) || b.now.Sub(r.since) > poolYields) && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
+		return !h.Booting && h.Part != r.part && (b.now.Sub(r.since) > poolYields || b.poolOpen(r.job, h)) && allowed(spec, r.zone, h.Type, h.Zone, h.Spot)
 	}
 	trial := core.Clone(hosts)
 	for h, k := range core.Take(trial, can, r.job.need, n) {
--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -26,9 +26,10 @@
 	poolPatience = 40 * time.Second
 	// poolSettles is how long one that has come is kept in any case.
 	poolSettles = 10 * time.Second
-	// poolYields is how long others wait before they may use it all the same: nobody
-	// should wait much longer beside a machine that has room.
-	poolYields = time.Minute
+	// poolYields is how long others wait, or its room is unused, before they may use it all
+	// the same: a third of the 90 s that nobody may wait beside a machine with room, since
+	// gangs may gather room one after the other.
+	poolYields = 30 * time.Second
 	// poolShare is the largest part of all machines that the pool may be.
 	poolShare = 0.15
 )
@@ -65,6 +66,26 @@
 	return j.spec.Gang || b.lentFor(j) || b.now.Sub(since) > poolYields && b.now.Sub(b.lead.since) > poolYields
 }
 
+// poolOpen tells whether a job may be placed on a machine as far as that is kept for
+// others: one of the leader's own part is, until its room has been unused for long.
+// However long a job waits, it is dealt tasks now and then, and began to wait anew each time.
+func (b *brain) poolOpen(j *job, h *core.Host) bool {
+	return h.Part != b.lentPart() || b.mayUsePool(j) || b.unusedForLong(h)
+}
+
+// unusedForLong tells whether nothing has been placed for long on a machine of the
+// leader's own part.
+func (b *brain) unusedForLong(h *core.Host) bool {
+	m := b.byIdx[h.ID]
+	unused := b.lead.since
+	for _, at := range []time.Time{m.homeAt, m.usedAt} {
+		if at.After(unused) {
+			unused = at
+		}
+	}
+	return b.now.Sub(unused) > poolYields
+}
+
 // outranksPool tells whether a job goes before gangs.
 func (b *brain) outranksPool(j *job) bool {
 	for _, c := range b.lead.pool.classes {
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -224,6 +224,12 @@
 	return nil
 }
 
+// binds tells whether an attempt of a task is bound to a machine already.
+func (r *rec) binds(num int32, attempt uint64, m *machine) bool {
+	e := r.find(num)
+	return e != nil && e.m == m && e.attempt == attempt
+}
+
 // void gives up a write of the record's owner whose conditions have changed.
 func (r *rec) void() {
 	if r.unit != nil {
--- a/internal/controller/rows_test.go
+++ b/internal/controller/rows_test.go
@@ -48,6 +48,7 @@
 		{"zone cut for longer than a lease", 16, []fault{{8, "zone", 0, 25, 0}, {9, "cancel", 4, 0, 0}, {12, "kill", leading, 5, 0}, {14, "cancel", 3, 0, 0}}, 0},
 		{"odd requests, restarts", 10, []fault{{on, "odd requests", 0, 70, 0}, {10, "kill", leading, 4, 0}, {20, "cancel", 4, 0, 0}, {30, "kill", all, 1, 0}}, 0},
 		{"a gang dealt to a part that has lost its room", 10, []fault{{1.8, "cut", 2, 15.7, 0}, {24.8, "old copies", 0, 41.5, 0.3}, {26.7, "hang", 2, 13.6, 0}, {31, "close looks", 0, 38.8, 0}, {31.3, "copies", 0, 42.5, 0.3}, {32.4, "kill", all, 0.5, 0}, {34.6, "kill", all, 0.5, 0}, {59.1, "close looks", 0, 43.9, 0}}, 1004},
+		{"gangs gather room one after the other beside small work", 10, []fault{{0.6, "outage", 0, 50, 0}, {1.7, "slow state", 0, 24.9, 0.3}, {4.2, "cloud down", 0, 40.8, 0}, {11.6, "slow state", leading, 29.9, 0.3}, {24.1, "slow state", 1, 14.7, 0.3}, {25.5, "jobs", 6, 0, 0}, {39.3, "back at once", 2, 0, 0}, {52.2, "zone", 0, 25.9, 0}, {55.9, "jobs", 6, 0, 0}}, 155},
 	} {
 		t.Run(x.name, func(t *testing.T) { play(t, cmp.Or(x.seed, usualSeed), x.jobs, x.faults) })
 	}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -40,16 +40,21 @@
 	state, cloud, workers http.RoundTripper
 	// send hands a status frame to all siblings.
 	send func(frame []byte)
+	// jitter draws a duration below the given one; nil: at random.
+	jitter func(time.Duration) time.Duration
 }
 
 func newBrain(ctx context.Context, cfg *config.Platform, op *config.Operator, log *slog.Logger, out outside) *brain {
 	s := &cfg.Settings
+	if out.jitter == nil {
+		out.jitter = rand.N[time.Duration]
+	}
 	st := store.NewClient(cfg.External.State, out.state)
 	b := &brain{
 		cfg: cfg, op: op, log: log.With("node", cfg.Name), boot: fmt.Sprintf("%016x", rand.Uint64()), ctx: ctx,
 		inbox: newInbox(), cloudQ: make(chan func(), cloudQueue),
-		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS, s.Count),
-		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send,
+		st: st, wr: store.NewWriter(st, s.State.TxnOps, s.State.WriteRPS, s.Count, out.jitter),
+		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send, jitter: out.jitter,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, over: map[string]uint8{}, recByKey: map[string]*rec{},
 		holders: map[string]holder{}, gone: map[string]bool{}, goneKeys: map[string]gone{}, lends: map[string]*lend{}, teams: map[string]int32{}, within: cfg.Within(), maxRec: maxEntries(s.State.ValueKB),
@@ -286,7 +291,7 @@
 		wait := pause
 		if err != nil {
 			b.log.Debug("state service", "err", err)
-			wait = 200*time.Millisecond + rand.N(100*time.Millisecond)
+			wait = 200*time.Millisecond + b.jitter(100*time.Millisecond)
 		}
 		select {
 		case <-b.ctx.Done():
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -31,8 +31,7 @@
 	world *standin.World
 	nodes []*node
 	user  *standin.Net
-	mu    sync.Mutex // of next, since several users may ask at a time
-	next  int
+	mu    sync.Mutex // of what several users share
 	// looks: until then users ask everywhere as soon as they were told something.
 	looks atomic.Pointer[time.Time]
 }
@@ -82,6 +81,7 @@
 		w.SetLimit("red", 24)
 		for i := range c.nodes {
 			c.start(i)
+			time.Sleep(137 * time.Microsecond) // their ticks are not at one time
 		}
 		defer func() {
 			for i := range c.nodes {
@@ -146,7 +146,9 @@
 		out = os.Stderr
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	b := newBrain(ctx, n.cfg, config.DefaultOperator(), log, outside{state: n.net, cloud: n.net, workers: n.net, send: func(frame []byte) {
+	b := newBrain(ctx, n.cfg, config.DefaultOperator(), log, outside{state: n.net, cloud: n.net, workers: n.net, jitter: func(most time.Duration) time.Duration {
+		return time.Duration(standin.Draw(uint64(i), n.cfg.Name) * float64(most))
+	}, send: func(frame []byte) {
 		for k, o := range c.nodes {
 			o.mu.Lock()
 			to, cut := o.brain, o.meshCut.Load() || n.meshCut.Load()
@@ -226,11 +228,9 @@
 // call tries the nodes in turn until one gives a final answer.
 func (c *cluster) call(call standin.Call, id string, body map[string]any, spec *wire.Job, within time.Duration) (int, map[string]any) {
 	until := time.Now().Add(within)
+	node := int(standin.Draw(uint64(call), id) * float64(len(c.nodes)))
 	for time.Now().Before(until) {
-		c.mu.Lock()
-		c.next++
-		node := c.next % len(c.nodes)
-		c.mu.Unlock()
+		node = (node + 1) % len(c.nodes)
 		status, out := c.ask(node, call, id, body, spec)
 		if status != 0 && status < 500 && status != http.StatusTooManyRequests {
 			return status, out
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -6,7 +6,9 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -122,8 +124,8 @@
 		return
 	}
 	now := time.Now()
-	for id, l := range s.leases {
-		if now.After(l.ends) {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if now.After(s.leases[id].ends) {
 			s.end(id)
 		}
 	}
@@ -132,8 +134,8 @@
 func (s *State) end(id uint64) {
 	delete(s.leases, id)
 	first := true
-	for k, v := range s.keys {
-		if v.lease == id {
+	for _, k := range slices.Sorted(maps.Keys(s.keys)) {
+		if s.keys[k].lease == id {
 			if first {
 				s.rev++
 				first = false
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -87,9 +89,20 @@
 	k.w.Saw(Event{Kind: MachineGone, Machine: k.m.Name})
 }
 
+// sorted are the tasks by name: what happens at one time happens in the same order in
+// every run; called with the lock held.
+func (k *Worker) sorted() []*workerTask {
+	names := slices.Sorted(maps.Keys(k.tasks))
+	out := make([]*workerTask, len(names))
+	for i, name := range names {
+		out[i] = k.tasks[name]
+	}
+	return out
+}
+
 // drop ends all tasks; called with the lock held.
 func (k *Worker) drop(at time.Time) {
-	for _, t := range k.tasks {
+	for _, t := range k.sorted() {
 		if t.state != wire.Exited {
 			k.w.off(k, t, at)
 			if t.spec.Gang {
@@ -231,7 +244,7 @@
 		if k.w.ctx.Err() != nil {
 			return
 		}
-		pause := time.Duration(k.w.ReportS * float64(time.Second))
+		pause := time.Duration((k.w.ReportS + Draw(8, k.m.Name)/100) * float64(time.Second))
 		select {
 		case <-k.nudge:
 			if wait := 500*time.Millisecond - time.Since(last); wait > 0 {
@@ -265,7 +278,7 @@
 	if k.hung != nil {
 		return
 	}
-	for _, t := range k.tasks {
+	for _, t := range k.sorted() {
 		if t.state == wire.Fetching && now.Sub(t.from) >= time.Duration(t.spec.ImageGB*float64(time.Second)) {
 			t.state, t.from = wire.Running, now
 			k.w.on(k, t)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -22,6 +23,9 @@
 type World struct {
 	ReportS, LeaseS, CancelS, GangWaitS, GangPeerS float64
 
+	spread time.Duration // by which the time that messages take differs
+	nets   uint64
+
 	ctx   context.Context
 	names []string
 	nodes []string // addresses of the controllers, by name's order
@@ -46,7 +50,7 @@
 
 // NewWorld returns a world whose controllers have the given names and addresses.
 func NewWorld(ctx context.Context, names, addrs []string, types []wire.MachineType) *World {
-	w := &World{ReportS: 1, LeaseS: 10, CancelS: 35, GangWaitS: 12, GangPeerS: 4, ctx: ctx, names: names, nodes: addrs, State: NewState(),
+	w := &World{ReportS: 1, LeaseS: 10, CancelS: 35, GangWaitS: 12, GangPeerS: 4, spread: 500 * time.Microsecond, ctx: ctx, names: names, nodes: addrs, State: NewState(),
 		handlers: map[string]http.Handler{}, specs: map[string]*wire.Job{}, running: map[string]*Worker{},
 		done: map[string]map[string]bool{}, gangs: map[string]*gang{}, progress: map[string]time.Duration{}, limits: map[string]core.Res{}}
 	w.net = w.Net()
@@ -212,16 +216,28 @@
 // it alone can be cut off.
 type Net struct {
 	w      *World
+	number uint64
 	mu     sync.Mutex
 	judge  func(*http.Request) Fate
 	late   time.Duration // by which a message is late
 	spread time.Duration // and how much more it may be
-	rng    *rand.Rand
+}
+
+// Draw is a number from 0 to below 1 that follows from a seed, the present time and what
+// it is for. Requests that are made at one time by several goroutines come in no order,
+// so numbers drawn one after the other would go to other requests in each run.
+func Draw(seed uint64, what string) float64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, seed, time.Now().UnixNano(), what)
+	return rand.New(rand.NewPCG(seed, h.Sum64())).Float64()
 }
 
 // Net returns a network of its own for a controller.
 func (w *World) Net() *Net {
-	return &Net{w: w, late: 5 * time.Second, rng: rand.New(rand.NewPCG(5, 6))}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nets++
+	return &Net{w: w, number: w.nets, late: 5 * time.Second}
 }
 
 // SetLate sets by how much messages are late, and how much more they may be.
@@ -243,7 +259,7 @@
 	n.mu.Lock()
 	judge, late := n.judge, n.late
 	if n.spread > 0 {
-		late += time.Duration(n.rng.Int64N(int64(n.spread)))
+		late += time.Duration(Draw(n.number, "late"+r.URL.String()) * float64(n.spread))
 	}
 	n.mu.Unlock()
 	var body []byte
@@ -288,7 +304,9 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
-	pass := 2 * time.Millisecond
+	// No two take the same time: what happens at different times has an order, which is
+	// the same in every run.
+	pass := 2*time.Millisecond + time.Duration(Draw(n.number, r.Method+r.URL.String()+string(body))*float64(n.w.spread))
 	switch fate {
 	case Unanswered:
 		go run(n.w.ctx)
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -63,16 +62,18 @@
 	early   chan *Unit
 	usual   chan *Unit
 	workers int
+	jitter  func(time.Duration) time.Duration
 	backlog atomic.Int64 // changes submitted whose outcome is not known
 }
 
 // NewWriter returns a writer for transactions of at most ops changes. The state
-// service's limit of writeRPS changes a second is for all sharers together.
-func NewWriter(c *Client, ops int, writeRPS float64, sharers int) *Writer {
+// service's limit of writeRPS changes a second is for all sharers together. jitter draws
+// a duration below the given one, by which a retry is put off.
+func NewWriter(c *Client, ops int, writeRPS float64, sharers int, jitter func(time.Duration) time.Duration) *Writer {
 	// What the service takes in a quarter of a minute may queue, and of usual units,
 	// which may be one for each of a thousand machines' tasks, in a whole one.
 	most := max(1024, int(writeRPS*15))
-	return &Writer{c: c, ops: ops, pace: newPace(writeRPS, sharers, ops),
+	return &Writer{c: c, ops: ops, jitter: jitter, pace: newPace(writeRPS, sharers, ops),
 		urgent: make(chan *Unit, most), early: make(chan *Unit, most), usual: make(chan *Unit, 4*most), workers: 4}
 }
 
@@ -332,7 +333,7 @@
 				w.settle(u, 0, ErrUnknown)
 			}
 			return
-		case <-time.After(pause + rand.N(pause)):
+		case <-time.After(pause + w.jitter(pause)):
 			pause = min(2*pause, 200*time.Millisecond)
 		}
 	}
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -24,7 +24,7 @@
 		net := w.Net()
 		net.Judge(judge)
 		c := store.NewClient("state:1", net)
-		wr := store.NewWriter(c, 32, 60, 3)
+		wr := store.NewWriter(c, 32, 60, 3, halfOf)
 		done := make(chan struct{})
 		go func() { defer close(done); wr.Run(ctx) }()
 		defer func() { cancel(); <-done; time.Sleep(time.Minute) }()
@@ -139,7 +139,7 @@
 		var wg sync.WaitGroup
 		var stored [3]atomic.Int64
 		for i, want := range []int{200, 10, 10} {
-			wr := store.NewWriter(store.NewClient("state:1", w.Net()), 32, 60, 3)
+			wr := store.NewWriter(store.NewClient("state:1", w.Net()), 32, 60, 3, halfOf)
 			wg.Go(func() { wr.Run(ctx) })
 			wg.Go(func() {
 				for n := 0; ctx.Err() == nil; n++ {
@@ -259,3 +259,6 @@
 		}
 	})
 }
+
+// halfOf is a jitter without chance.
+func halfOf(d time.Duration) time.Duration { return d / 2 }
