Gangs: a test for each clause of the protocol, in each phase; who gathers room keeps it longer

A gang meets each of eleven events in each of five phases (TestGangInEveryPhase), an orderly stop with members that hear late or never, the team's limit until all are gone, no blame, one done is all done.

Sorting an empty list of lendings cost an allocation a step.

--- /dev/null
+++ b/internal/controller/gang_clauses_test.go
@@ -0,0 +1,299 @@
+package controller
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/wire"
+)
+
+// The clauses of the protocol on gangs; docs/design.md lists them with their tests.
+
+// phase brings a gang of four to a state of its life.
+type phase struct {
+	name  string
+	reach func(*testing.T, *cluster)
+}
+
+// gangTasks is how many tasks the gangs of these tests have.
+const gangTasks = 4
+
+// gangOfPhases is a gang that fetches for 4 s, gathers for 4 more if a machine is slow, and
+// takes 3 s to save.
+func gangOfPhases() map[string]any {
+	b := gangBody("wk-9", "blue", "normal", gangTasks, 20)
+	b["stowS"], b["imageGb"], b["plumage"], b["hulls"], b["samePlace"] = 3, 4, "gang", []string{"small"}, true
+	return b
+}
+
+// reaches waits until enough tasks of the gang are in a state.
+func (c *cluster) reaches(state string, least int) {
+	c.t.Helper()
+	for until := time.Now().Add(time.Minute); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if c.world.States("wk-9")[state] >= least {
+			return
+		}
+	}
+	c.t.Fatalf("not %s: %v", state, c.world.States("wk-9"))
+}
+
+var gangPhases = []phase{
+	{"fetching", func(_ *testing.T, c *cluster) { c.reaches(wire.Fetching, gangTasks) }},
+	{"gathering", func(_ *testing.T, c *cluster) {
+		c.reaches(wire.Fetching, gangTasks)
+		c.on("wk-9").SetSlowFetch(4 * time.Second)
+		c.reaches(wire.Gathering, 1)
+	}},
+	{"running", func(_ *testing.T, c *cluster) {
+		c.reaches(wire.Running, gangTasks)
+		time.Sleep(6 * time.Second)
+	}},
+	{"saving", func(_ *testing.T, c *cluster) {
+		c.reaches(wire.Running, gangTasks)
+		time.Sleep(6 * time.Second)
+		c.drain(c.on("wk-9"))
+		c.reaches(wire.Saving, 1)
+	}},
+	{"ended", func(_ *testing.T, c *cluster) { // and not known to have: nothing can be stored
+		c.reaches(wire.Running, gangTasks)
+		time.Sleep(18 * time.Second)
+		c.world.State.SetDown(true)
+		c.reaches(wire.Exited, gangTasks)
+		time.AfterFunc(2*time.Second, func() { c.world.State.SetDown(false) })
+	}},
+}
+
+// drain has a machine emptied, as one that seems to be sick is.
+func (c *cluster) drain(w *standin.Worker) {
+	for _, n := range c.nodes {
+		n.brain.ask(c.ctx, laneState, func() {
+			m := n.brain.machine(w.Name())
+			m.suspect, m.suspectAt = true, n.brain.now
+		})
+	}
+}
+
+// A gang meets each of what may happen to it in each phase of its life: no rule breaks, and
+// it is done in the end, or gone soon if it was cancelled.
+func TestGangInEveryPhase(t *testing.T) {
+	events := []struct {
+		name string
+		do   func(c *cluster)
+	}{
+		{"cancelled", func(c *cluster) { c.tryAbort("wk-9") }},
+		{"evicted", func(c *cluster) {
+			c.world.Cloud.SetCapacity(0)
+			c.submit(jobBody("wk-91", wire.Array, "blue", "production", 40, 2, 3))
+		}},
+		{"spot notice", func(c *cluster) { c.on("wk-9").SetNotice(8 * time.Second) }},
+		{"taken without notice", func(c *cluster) { c.on("wk-9").Die() }},
+		{"drained", func(c *cluster) { c.drain(c.on("wk-9")) }},
+		{"machine hangs", func(c *cluster) {
+			w := c.on("wk-9")
+			w.SetHung(true)
+			time.AfterFunc(8*time.Second, func() { w.SetHung(false) })
+		}},
+		{"machine cut off", func(c *cluster) {
+			w := c.on("wk-9")
+			w.SetCut(true)
+			time.AfterFunc(25*time.Second, func() { w.SetCut(false) })
+		}},
+		{"commands late", func(c *cluster) {
+			for _, n := range c.nodes {
+				n.net.SetLate(3*time.Second, 4*time.Second)
+				n.net.Judge(func(r *http.Request) standin.Fate {
+					if strings.HasPrefix(r.URL.Host, "10.1.") {
+						return standin.Late
+					}
+					return standin.Deliver
+				})
+				time.AfterFunc(15*time.Second, func() { n.net.Judge(nil) })
+			}
+		}},
+		{"all controllers end", (*cluster).restartAll},
+		{"leader ends", func(c *cluster) {
+			c.kill(0)
+			time.Sleep(7 * time.Second)
+			c.start(0)
+		}},
+		{"done and cancelled", func(c *cluster) {
+			go c.ask(1, standin.Submit, "wk-9", gangOfPhases(), nil)
+			c.tryAbort("wk-9")
+		}},
+	}
+	for _, p := range gangPhases {
+		for _, e := range events {
+			t.Run(p.name+", "+e.name, func(t *testing.T) {
+				inWorld(t, func(c *cluster) {
+					c.services(2, 2)
+					c.submit(gangOfPhases())
+					p.reach(t, c)
+					e.do(c)
+					time.Sleep(40 * time.Second)
+					c.world.Cloud.SetCapacity(20)
+					c.world.SetQuiet()
+					c.await("it is over", 3*time.Minute, func() bool {
+						s := c.state("wk-9")
+						return s == wire.Done || s == wire.Cancelled
+					})
+					if n := c.world.Finished("wk-9"); n != 0 && n != gangTasks {
+						t.Errorf("%d of %d tasks are done", n, gangTasks)
+					}
+				})
+			})
+		}
+	}
+}
+
+// An orderly stop with a member that hears of it late, by its next report, saves; with one
+// that can't be reached nothing is saved, and the gang goes on from its last checkpoint.
+func TestOrderlyStopNeedsAllMembers(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		hold  func(c *cluster, w *standin.Worker) (undo func())
+		saves bool
+	}{
+		{"all are reached", func(*cluster, *standin.Worker) func() { return func() {} }, true},
+		{"one hears by its report", func(c *cluster, w *standin.Worker) func() {
+			for _, n := range c.nodes {
+				n.net.Judge(func(r *http.Request) standin.Fate {
+					if r.URL.Host == w.Addr() {
+						return standin.Drop
+					}
+					return standin.Deliver
+				})
+			}
+			return func() {
+				for _, n := range c.nodes {
+					n.net.Judge(nil)
+				}
+			}
+		}, true},
+		{"one is cut off", func(_ *cluster, w *standin.Worker) func() {
+			w.SetCut(true)
+			return func() { w.SetCut(false) }
+		}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			inWorld(t, func(c *cluster) {
+				b := gangOfPhases()
+				b["priority"], b["rank"] = "low", "low"
+				b["reckonS"] = 60
+				c.submit(b)
+				c.reaches(wire.Running, gangTasks)
+				time.Sleep(21 * time.Second)
+				undo := x.hold(c, c.on("wk-9"))
+				c.world.Cloud.SetCapacity(0)
+				c.submit(jobBody("wk-2", wire.Array, "blue", "urgent", 30, 2, 3))
+				c.await("it has left", 40*time.Second, func() bool { return c.world.Running("wk-9") == 0 })
+				if saved := c.world.Saved("wk-9") >= 20*time.Second; saved != x.saves {
+					t.Errorf("%v are saved", c.world.Saved("wk-9"))
+				}
+				undo()
+				c.world.Cloud.SetCapacity(20)
+				c.awaitDone("wk-9", 4*time.Minute)
+			})
+		})
+	}
+}
+
+// A team at its limit with a gang whose machine can't be reached: what is cancelled counts
+// until it is proved gone, so another gang of the team begins only then. The rule checker
+// counts what is on machines at each instant.
+func TestLimitCountsGangUntilItIsGone(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		c.submit(gangBody("wk-9", "red", "normal", 12, 200)) // 24 of 24 CPUs
+		c.await("it runs", time.Minute, func() bool { return c.world.Running("wk-9") == 12 })
+		c.on("wk-9").SetCut(true)
+		cancelled := time.Now()
+		c.abort("wk-9")
+		c.submit(gangBody("wk-10", "red", "normal", 12, 10))
+		c.await("the next one runs", time.Minute, func() bool { return c.world.Running("wk-10") == 12 })
+		if after := time.Since(cancelled); after < 5*time.Second {
+			t.Errorf("it began %v after the cancellation, with a machine that nobody has heard", after)
+		}
+	})
+}
+
+// Who is told that others are gone, or never came, is not to blame: neither the machine
+// nor the job is barred, rested or counted as failing.
+func TestNobodyIsBlamedForMissingMembers(t *testing.T) {
+	b := lone(t)
+	m := b.machine("host-1")
+	j := &job{id: "wk-1", spec: &wire.Job{ID: "wk-1", Gang: true, Tasks: 2}}
+	b.jobs["wk-1"] = j
+	for _, why := range []string{wire.WhyPeers, wire.WhyAlone} {
+		for range 5 {
+			b.taskEnded(m, j, why)
+		}
+	}
+	if len(m.failed) > 0 || len(j.failedOn) > 0 || !m.cooling.IsZero() || !j.retryAt.IsZero() || m.suspect {
+		t.Errorf("machine: %v %v %v, job: %v %v", m.failed, m.cooling, m.suspect, j.failedOn, j.retryAt)
+	}
+	b.taskEnded(m, j, wire.WhyError)
+	if len(m.failed) != 1 || len(j.failedOn) != 1 {
+		t.Error("a failure is not noted")
+	}
+}
+
+// One task that is done is all done: in one change with the job's fate, whether the others'
+// reports have come or say that others are gone; and a controller that takes over when
+// only a part of the records is stored as done ends the rest.
+func TestOneDoneIsAllDone(t *testing.T) {
+	setUp := func(t *testing.T, records int) (*brain, *part, []*rec) {
+		b := lone(t)
+		p := b.parts[0]
+		m := b.machine("host-1")
+		b.takeReport(m, &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
+		b.put(jobKey("wk-1"), raw(t, jobValue{At: b.now.UnixMilli(), Job: &wire.Job{ID: "wk-1", Gang: true, Tasks: 4, CPUs: 1, Team: "t"}}), 2)
+		var recs []*rec
+		for k := range records {
+			var tasks []entryValue
+			for n := k * 4 / records; n < (k+1)*4/records; n++ {
+				tasks = append(tasks, entryValue{Num: int32(n), Attempt: 1, Machine: "host-1", Session: 1})
+			}
+			key := groupKey("wk-1", k)
+			b.put(key, raw(t, groupValue{Tasks: tasks}), uint64(3+k))
+			recs = append(recs, b.recByKey[key])
+		}
+		return b, p, recs
+	}
+	report := func(b *brain, p *part, seq uint64, whys map[int]string) {
+		r := &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: seq, Token: 1}
+		for n := range 4 {
+			if why, ok := whys[n]; ok {
+				r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprint("wk-1/", n), Attempt: 1, State: wire.Exited, Why: why})
+			} else {
+				r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprint("wk-1/", n), Attempt: 1, State: wire.Running})
+			}
+		}
+		b.takeReport(b.machine("host-1"), r, p, true)
+	}
+	for name, whys := range map[string]map[int]string{
+		"only one is heard":       {2: wire.WhyDone},
+		"others say mates_gone":   {0: wire.WhyPeers, 1: wire.WhyDone, 3: wire.WhyPeers},
+		"others are said stopped": {0: wire.WhyStopped, 3: wire.WhyDone},
+	} {
+		b, p, recs := setUp(t, 1)
+		report(b, p, 2, whys)
+		update := b.planUpdate(p, recs[0])
+		if update.done != 4 || len(update.entries) != 0 || !b.endsJob(recs[0], &update) {
+			t.Errorf("%s: %d done, %d left", name, update.done, len(update.entries))
+		}
+	}
+	b, p, recs := setUp(t, 1)
+	report(b, p, 2, map[int]string{0: wire.WhyPeers, 1: wire.WhyPeers, 2: wire.WhyPeers, 3: wire.WhyPeers})
+	if update := b.planUpdate(p, recs[0]); update.done != 0 || len(update.entries) != 4 {
+		t.Errorf("none is done: %d done, %d left", update.done, len(update.entries))
+	}
+	b, p, recs = setUp(t, 2)
+	b.put(recs[0].key, raw(t, groupValue{Done: 2, Tasks: []entryValue{}}), 9) // by the owner before
+	report(b, p, 2, map[int]string{2: wire.WhyPeers, 3: wire.WhyPeers})
+	if update := b.planUpdate(p, recs[1]); update.done != 2 || !b.endsJob(recs[1], &update) {
+		t.Errorf("half is stored as done: %d more are", update.done)
+	}
+}
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -43,7 +43,12 @@
 }
 
 // lentNames are the machines that are lent, in one order for all that is decided.
-func (b *brain) lentNames() []string { return slices.Sorted(maps.Keys(b.lends)) }
+func (b *brain) lentNames() []string {
+	if len(b.lends) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(b.lends))
+}
 
 // lentPart is the number of the leader's own part.
 func (b *brain) lentPart() int { return len(b.parts) - 1 }
--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -26,10 +26,14 @@
 	poolPatience = 40 * time.Second
 	// poolSettles is how long one that has come is kept in any case.
 	poolSettles = 10 * time.Second
-	// poolYields is how long others wait, or its room is unused, before they may use it all
-	// the same: a third of the 90 s that nobody may wait beside a machine with room, since
-	// gangs may gather room one after the other.
-	poolYields = 30 * time.Second
+	// poolYields is how long others wait before they may use it all the same: nobody
+	// should wait much longer beside a machine that has room.
+	poolYields = time.Minute
+	// poolUnused is for how long room of it is kept that nothing uses: a third of the 90 s
+	// that nobody may wait beside a machine with room, since gangs may gather room one
+	// after the other. What is lent for one group is kept for longer, while that gathers.
+	poolUnused = 30 * time.Second
+	lentUnused = time.Minute
 	// poolShare is the largest part of all machines that the pool may be.
 	poolShare = 0.15
 )
@@ -77,13 +81,17 @@
 // leader's own part.
 func (b *brain) unusedForLong(h *core.Host) bool {
 	m := b.byIdx[h.ID]
+	limit := poolUnused
+	if l := b.lends[m.name]; l != nil && l.Job != poolJob {
+		limit = lentUnused
+	}
 	unused := b.lead.since
 	for _, at := range []time.Time{m.homeAt, m.usedAt} {
 		if at.After(unused) {
 			unused = at
 		}
 	}
-	return b.now.Sub(unused) > poolYields
+	return b.now.Sub(unused) > limit
 }
 
 // outranksPool tells whether a job goes before gangs.
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -41,6 +41,7 @@
 	At      time.Time
 	Kind    Kind
 	Task    string // TaskHeld to TaskDone
+	Attempt uint64 // TaskHeld
 	Machine string
 	Type    string // MachineUp
 	Zone    string
@@ -86,6 +87,7 @@
 	answers   []time.Time          // of polls that were answered
 	on        map[string]*place
 	held      map[string]*place
+	attempts  map[string]uint64 // of each task's last start
 	machines  map[string]*place
 	used      map[*place]core.Res
 	waits     map[string]time.Time
@@ -106,7 +108,7 @@
 func Check(trace []Event, rules Rules) []string {
 	c := &checker{rules: rules, specs: map[string]*wire.Job{}, submitted: map[string]time.Time{}, asked: map[string]time.Time{}, accepted: map[string]time.Time{},
 		final: map[string]string{}, finalAt: map[string]time.Time{}, done: map[string]int{}, doneTasks: map[string]bool{}, silent: map[string]time.Time{},
-		on: map[string]*place{}, held: map[string]*place{}, machines: map[string]*place{}, used: map[*place]core.Res{}, waits: map[string]time.Time{}}
+		on: map[string]*place{}, held: map[string]*place{}, attempts: map[string]uint64{}, machines: map[string]*place{}, used: map[*place]core.Res{}, waits: map[string]time.Time{}}
 	for i := range trace {
 		if e := &trace[i]; e.Kind == Answered {
 			first(c.submitted, e, Submit)
@@ -170,6 +172,7 @@
 			c.breach("ran_twice: %s is started on %s while it is on %s", e.Task, p.name, o.name)
 		}
 		c.held[e.Task] = p
+		c.oneAttempt(e)
 		if s := c.specs[jobOf(e.Task)]; s != nil {
 			c.used[p] = c.used[p].Plus(needOf(s))
 		}
@@ -189,6 +192,23 @@
 	}
 }
 
+// oneAttempt checks that no task of a gang is started while one of an earlier attempt is on
+// its machine. The protocol forbids it for the same task, and in another zone for others;
+// nothing is won by it anywhere, since the two attempts' tasks never find each other.
+func (c *checker) oneAttempt(e *Event) {
+	id := jobOf(e.Task)
+	c.attempts[e.Task] = e.Attempt
+	if s := c.specs[id]; s == nil || !s.Gang {
+		return
+	}
+	for t := range c.held {
+		if jobOf(t) == id && c.attempts[t] < e.Attempt {
+			c.breach("two_attempts: %s is started as attempt %d while %s is there as attempt %d", e.Task, e.Attempt, t, c.attempts[t])
+			return
+		}
+	}
+}
+
 func needOf(s *wire.Job) core.Res { return core.Amount(s.CPUs, s.GPUs, s.RAM) }
 
 func (c *checker) off(task string, at time.Time) {
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -97,6 +97,20 @@
 			}
 		})
 	}
+	// Attempts of a gang.
+	gang := job(func(j *wire.Job) { j.Gang = true })
+	for _, x := range []struct {
+		name    string
+		started float64 // task 1 as attempt 2
+		bad     bool
+	}{{"beside the first attempt", 5, true}, {"after it", 10, false}} {
+		again := run(x.started, x.started+2, "wk-1/1", "m3")
+		again[0].Attempt = 2
+		got := Check(append(append([]Event{submit(gang)}, machines...), append(run(2, 9, "wk-1/0", "m1"), again...)...), Rules{Cancel: time.Minute})
+		if x.bad != (len(got) == 1 && strings.HasPrefix(got[0], "two_attempts:")) {
+			t.Errorf("%s: found %v", x.name, got)
+		}
+	}
 	// What depends on the job.
 	for name, x := range map[string]struct {
 		change func(*wire.Job)
--- a/internal/standin/gang.go
+++ b/internal/standin/gang.go
@@ -12,8 +12,9 @@
 	waiting map[string]bool // tasks that have their image
 	told    map[string]bool // to stop, with time to save
 	started time.Time
-	stopped time.Time // the first stop
-	broken  time.Time // a task is gone that had started, or was stopped without grace
+	stopped time.Time            // the first stop
+	broken  time.Time            // a task is gone that had started, or was stopped without grace
+	hung    map[string]time.Time // tasks whose machine hangs, since when
 	kept    bool
 	done    bool
 }
@@ -23,7 +24,7 @@
 	key := fmt.Sprint(jobOf(t.name), "/", t.attempt)
 	g := w.gangs[key]
 	if g == nil {
-		g = &gang{waiting: map[string]bool{}, told: map[string]bool{}}
+		g = &gang{waiting: map[string]bool{}, told: map[string]bool{}, hung: map[string]time.Time{}}
 		w.gangs[key] = g
 	}
 	return g
@@ -57,6 +58,34 @@
 	}
 }
 
+// gangsHang notes that a machine with tasks hangs, or goes on.
+func (w *World) gangsHang(tasks map[string]*workerTask, hang bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range tasks {
+		if !t.spec.Gang || t.state == wire.Exited {
+			continue
+		}
+		if hang {
+			w.gangOf(t).hung[t.name] = time.Now()
+		} else {
+			delete(w.gangOf(t).hung, t.name)
+		}
+	}
+}
+
+// notice has a gang that runs find out that the machine of one of its tasks hangs.
+func (w *World) notice(g *gang) {
+	if g.started.IsZero() || g.done || g.kept || !g.broken.IsZero() {
+		return
+	}
+	for _, since := range g.hung {
+		if time.Since(since) >= w.gangPeer()/2 {
+			g.broken = time.Now()
+		}
+	}
+}
+
 // tell is an orderly stop of one task; false if it exits at once.
 func (w *World) tell(t *workerTask) bool {
 	w.mu.Lock()
@@ -78,6 +107,7 @@
 	defer w.mu.Unlock()
 	g, now := w.gangOf(t), time.Now()
 	id := jobOf(t.name)
+	w.notice(g)
 	switch {
 	case t.state == wire.Gathering && g.started.IsZero():
 		if now.Sub(t.from) >= time.Duration(w.GangWaitS*float64(time.Second)) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -58,7 +58,11 @@
 	// copies, if set, is handed each report as it is sent.
 	copies func([]byte)
 	last   []byte // its newest report
-	nudge  chan struct{}
+	// takenAt is when the cloud takes the machine, as its reports say; zero: no notice.
+	takenAt time.Time
+	// slowFetch is by how much the fetch of an image takes longer than usual.
+	slowFetch time.Duration
+	nudge     chan struct{}
 }
 
 func newWorker(w *World, m wire.CloudMachine, t wire.MachineType) *Worker {
@@ -135,9 +139,11 @@
 	case hung && k.hung == nil:
 		k.advance()
 		k.hung, k.hungAt = make(chan struct{}), time.Now()
+		k.w.gangsHang(k.tasks, true)
 	case !hung && k.hung != nil:
 		close(k.hung)
 		k.hung = nil
+		k.w.gangsHang(k.tasks, false)
 		for _, t := range k.tasks {
 			t.from = t.from.Add(time.Since(k.hungAt)) // they stood still as well
 		}
@@ -189,6 +195,32 @@
 	k.sick = sick
 }
 
+// SetNotice has the cloud take the machine after a while, which its reports tell.
+func (k *Worker) SetNotice(after time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.takenAt = time.Now().Add(after)
+	time.AfterFunc(after, k.Die)
+	k.changed()
+}
+
+// SetSlowFetch has the machine take longer for images.
+func (k *Worker) SetSlowFetch(by time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.slowFetch = by
+}
+
+// StateOf is the state of a task's newest attempt on the machine; "": it is not there.
+func (k *Worker) StateOf(task string) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t := k.tasks[task]; t != nil && !k.dead {
+		return t.state
+	}
+	return ""
+}
+
 // SetDeaf has the machine's reports arrive while nothing reaches it.
 func (k *Worker) SetDeaf(deaf bool) {
 	k.mu.Lock()
@@ -279,7 +311,7 @@
 		return
 	}
 	for _, t := range k.sorted() {
-		if t.state == wire.Fetching && now.Sub(t.from) >= time.Duration(t.spec.ImageGB*float64(time.Second)) {
+		if t.state == wire.Fetching && now.Sub(t.from) >= time.Duration(t.spec.ImageGB*float64(time.Second))+k.slowFetch {
 			t.state, t.from = wire.Running, now
 			k.w.on(k, t)
 			if t.spec.Gang {
@@ -340,6 +372,10 @@
 	k.seq++
 	r := wire.Report{Machine: k.m.Name, Addr: k.m.Addr, Type: k.m.Type, Zone: k.m.Zone, Spot: k.m.Spot, Session: k.session, Seq: k.seq, Token: k.token,
 		Tasks: []wire.TaskReport{}}
+	if !k.takenAt.IsZero() {
+		left := max(0, time.Until(k.takenAt).Seconds())
+		r.NoticeS = &left
+	}
 	for _, t := range k.tasks {
 		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, State: t.state, Why: t.why})
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -128,6 +128,20 @@
 	return n
 }
 
+// States are the states of a job's tasks on their machines, each with how many have it.
+func (w *World) States(id string) map[string]int {
+	tasks := w.spec(id).Tasks
+	out := map[string]int{}
+	for _, k := range w.Cloud.Workers() {
+		for n := range tasks {
+			if s := k.StateOf(fmt.Sprint(id, "/", n)); s != "" {
+				out[s]++
+			}
+		}
+	}
+	return out
+}
+
 // Running counts a job's tasks that are on machines.
 func (w *World) Running(id string) int {
 	w.mu.Lock()
@@ -162,7 +176,7 @@
 
 // held: a start was accepted.
 func (w *World) held(k *Worker, t *workerTask) {
-	w.Saw(Event{Kind: TaskHeld, Task: t.name, Machine: k.m.Name})
+	w.Saw(Event{Kind: TaskHeld, Task: t.name, Machine: k.m.Name, Attempt: t.attempt})
 }
 
 // on: a task is on a machine from now.
