--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -81,7 +81,7 @@
 func (h *server) routes() http.Handler {
 	r := httprouter.New()
 	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
-	r.POST("/v1/jobs", h.user(userTimeout, func(ctx context.Context, r *http.Request, p httprouter.Params) Answer {
+	r.POST("/v1/jobs", h.user(userTimeout, func(ctx context.Context, r *http.Request, _ httprouter.Params) Answer {
 		body, err := readBody(r, wire.MaxBody)
 		if err != nil {
 			return Answer{Status: http.StatusBadRequest, Reason: err.Error()}
@@ -95,10 +95,10 @@
 	r.GET("/v1/jobs/:id", h.user(pollTimeout, func(ctx context.Context, _ *http.Request, p httprouter.Params) Answer {
 		return h.s.Poll(ctx, p.ByName("id"))
 	}))
-	r.POST("/v1/jobs/:id/abort", h.user(userTimeout, func(ctx context.Context, r *http.Request, p httprouter.Params) Answer {
+	r.POST("/v1/jobs/:id/abort", h.user(userTimeout, func(ctx context.Context, _ *http.Request, p httprouter.Params) Answer {
 		return h.s.Abort(ctx, p.ByName("id"))
 	}))
-	r.GET("/ready", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	r.GET("/ready", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		a := Answer{Status: http.StatusServiceUnavailable, Reason: "not ready"}
 		if h.s.Ready() {
 			a = Answer{Status: http.StatusOK, Body: struct{}{}}
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -45,7 +45,6 @@
 	}
 	body := `{"perch":"host-000231","addr":"10.1.0.232:9000","hull":"g8","shore":"a","driftwood":true,"watch":1,"tally":88,"baton":41,"warningS":null,"eggs":[]}`
 	request := fmt.Sprintf("POST /v1/report HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	conns := make([]net.Conn, 0, n)
 	before := held()
 	for range n {
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -53,7 +52,6 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		conns = append(conns, c)
 		if _, err := io.WriteString(c, request); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -18,10 +18,10 @@
 	"eiderhitch/internal/wire"
 )
 
-// ErrNoCapacity: the cloud has no machine of that type, zone and kind.
+// ErrNoCapacity says that the cloud has no machine of that type, zone and kind.
 var ErrNoCapacity = errors.New("cloud: no capacity")
 
-// ErrRefused: not executed; outage or too many calls.
+// ErrRefused says that a call was not executed, in an outage or since there were too many.
 var ErrRefused = errors.New("cloud: refused")
 
 const callTimeout = 4 * time.Second
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -120,7 +120,7 @@
 				short[j.team] = true
 				b.squeeze(j, limits[j.team].Lack(j.need.Times(left)))
 			}
-			w := b.dealJob(hosts, limits, j, dealt, left, must > 0)
+			w := b.dealJob(hosts, limits, j, portion{dealt, left, must > 0})
 			if w.Count > 0 {
 				if j.spec.Whole() && j.spec.Tasks == 1 && !b.lentFor(j) {
 					alike[j.sig], w.Groups = len(wants), 1
@@ -288,8 +288,16 @@
 	return out
 }
 
+// portion is what is asked of a dealing: so many tasks after those that are dealt, and
+// whether they are dealt even where there is no room.
+type portion struct {
+	dealt, left int
+	must        bool
+}
+
 // dealJob deals as many of a job's tasks as there is room for now.
-func (b *brain) dealJob(hosts []*core.Host, limits []core.Limit, j *job, dealt, left int, must bool) core.Want {
+func (b *brain) dealJob(hosts []*core.Host, limits []core.Limit, j *job, ask portion) core.Want {
+	dealt, left := ask.dealt, ask.left
 	spec := j.spec
 	lim := &limits[j.team]
 	room := lim.Room(j.need, left)
@@ -339,7 +347,7 @@
 		can := func(h *core.Host) bool {
 			return !h.Booting && (i >= pooled || b.poolOpen(j, h)) && allowed(spec, zone, h.Type, h.Zone, h.Spot)
 		}
-		d := core.Dealing{Need: j.need, Count: n, Claim: claim, Can: can, Tight: tight, Must: must}
+		d := core.Dealing{Need: j.need, Count: n, Claim: claim, Can: can, Tight: tight, Must: ask.must}
 		if spec.Whole() {
 			// The whole group in one part, so that its cells are reserved
 			// together; its part's owner evicts where there is no free room.
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -72,7 +72,7 @@
 	}
 	b.logFleet(hosts)
 	b.notePool(hosts)
-	b.tendLends(hosts)
+	b.tendLends()
 	b.fillPool(hosts)
 	b.gatherGangs()
 	if b.lead.writes > 0 {
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -214,7 +214,7 @@
 
 // tendLends fences machines that came in and hands back those that are not
 // needed: nothing stays lent for ever.
-func (b *brain) tendLends(hosts []*core.Host) {
+func (b *brain) tendLends() {
 	p := b.parts[b.lentPart()]
 	for _, name := range b.lentNames() {
 		l, m := b.lends[name], b.machine(name)
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -19,11 +19,11 @@
 
 // fault is one trouble of a meeting, as a value: what, when, for how long, and to whom.
 type fault struct {
-	at   float64 // seconds after the work has begun
-	what string
-	who  int     // a controller; leading, all; or how many machines or jobs
-	for_ float64 // seconds
-	part float64 // share of what is affected
+	at       float64 // seconds after the work has begun
+	what     string
+	who      int     // a controller; leading, all; or how many machines or jobs
+	duration float64 // seconds
+	part     float64 // share of what is affected
 }
 
 // Controllers by their role at the time.
@@ -33,7 +33,7 @@
 )
 
 func (f fault) String() string {
-	return fmt.Sprintf("{%.1f, %q, %d, %.1f, %.2f}", f.at, f.what, f.who, f.for_, f.part)
+	return fmt.Sprintf("{%.1f, %q, %d, %.1f, %.2f}", f.at, f.what, f.who, f.duration, f.part)
 }
 
 // scene is a cluster at work, to which faults happen.
@@ -43,7 +43,6 @@
 	rng    *rand.Rand
 	judges []map[int]func(*http.Request) standin.Fate // by controller, of the faults that last
 	nextJ  int
-	heal   []func()
 	specs  map[string]map[string]any
 	ids    []string // jobs that were tried
 	lasts  map[string]bool
@@ -178,7 +177,7 @@
 
 // begin has a fault begin and returns what ends it.
 func (s *scene) begin(f fault) func() {
-	for_ := time.Duration(f.for_ * float64(time.Second))
+	duration := time.Duration(f.duration * float64(time.Second))
 	nothing := func() {}
 	switch f.what {
 	case "outage":
@@ -279,12 +278,12 @@
 		}
 		return undo
 	case "cancel at end":
-		go s.atEnds(for_, f.part)
+		go s.atEnds(duration, f.part)
 	case "close looks":
-		until := time.Now().Add(for_)
+		until := time.Now().Add(duration)
 		s.looks.Store(&until)
 	case "odd requests":
-		go s.oddities(for_)
+		go s.oddities(duration)
 	case "copies":
 		return s.copies(f.part, 0)
 	case "old copies":
@@ -305,7 +304,7 @@
 		}
 	case "one-task jobs": // four a second
 		go func() {
-			for until := time.Now().Add(for_); time.Now().Before(until); time.Sleep(250 * time.Millisecond) {
+			for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(250 * time.Millisecond) {
 				id := s.submitJob(jobBody("", wire.Array, "blue", "normal", 1, 1, 2))
 				s.mu.Lock()
 				off := s.rng.Float64() < 0.25
@@ -534,7 +533,7 @@
 		for _, f := range faults {
 			endUntil(f.at)
 			wait(f.at)
-			ends = append(ends, ending{f.at + f.for_, s.begin(f)})
+			ends = append(ends, ending{f.at + f.duration, s.begin(f)})
 		}
 		endUntil(1e9)
 		c.world.SetQuiet()
@@ -586,13 +585,13 @@
 // Generated schedules of faults: a seed that breaks a rule prints its schedule, so that
 // it can become a row of TestMeetings.
 func TestCombinations(t *testing.T) {
-	kinds := []fault{{what: "cloud down", for_: 40}, {what: "no capacity", for_: 60}, {what: "outage", for_: 45}, {what: "state refuses", for_: 20}, {what: "state silent", for_: 15}, {what: "slow state", for_: 30, part: 0.3},
-		{what: "late writes", who: all, for_: 40, part: 0.3}, {what: "lost answers", who: all, for_: 40, part: 0.3}, {what: "late commands", who: all, for_: 30, part: 0.3},
-		{what: "workers silent", for_: 20}, {what: "no peers", for_: 30}, {what: "no peers", who: all, for_: 30}, {what: "alone", for_: 40}, {what: "kill", for_: 0.3}, {what: "kill", for_: 6},
-		{what: "kill", who: all, for_: 0.5}, {what: "kill", who: all, for_: 14}, {what: "zone", for_: 25}, {what: "deaf", who: 2, for_: 25}, {what: "mute", who: 2, for_: 25}, {what: "hang", who: 2, for_: 8},
-		{what: "hang", who: 2, for_: 30}, {what: "cut", who: 2, for_: 20}, {what: "sick", who: 1, for_: 20}, {what: "die", who: 2}, {what: "back at once", who: 2}, {what: "cancel", who: 3}, {what: "cancel", who: 3},
-		{what: "cancel and hang", who: 3, for_: 7}, {what: "cancel at end", for_: 40, part: 0.4}, {what: "close looks", for_: 40}, {what: "odd requests", for_: 30}, {what: "copies", for_: 40, part: 0.3},
-		{what: "old copies", for_: 40, part: 0.3}, {what: "jobs", who: 6}, {what: "jobs", who: 6}}
+	kinds := []fault{{what: "cloud down", duration: 40}, {what: "no capacity", duration: 60}, {what: "outage", duration: 45}, {what: "state refuses", duration: 20}, {what: "state silent", duration: 15}, {what: "slow state", duration: 30, part: 0.3},
+		{what: "late writes", who: all, duration: 40, part: 0.3}, {what: "lost answers", who: all, duration: 40, part: 0.3}, {what: "late commands", who: all, duration: 30, part: 0.3},
+		{what: "workers silent", duration: 20}, {what: "no peers", duration: 30}, {what: "no peers", who: all, duration: 30}, {what: "alone", duration: 40}, {what: "kill", duration: 0.3}, {what: "kill", duration: 6},
+		{what: "kill", who: all, duration: 0.5}, {what: "kill", who: all, duration: 14}, {what: "zone", duration: 25}, {what: "deaf", who: 2, duration: 25}, {what: "mute", who: 2, duration: 25}, {what: "hang", who: 2, duration: 8},
+		{what: "hang", who: 2, duration: 30}, {what: "cut", who: 2, duration: 20}, {what: "sick", who: 1, duration: 20}, {what: "die", who: 2}, {what: "back at once", who: 2}, {what: "cancel", who: 3}, {what: "cancel", who: 3},
+		{what: "cancel and hang", who: 3, duration: 7}, {what: "cancel at end", duration: 40, part: 0.4}, {what: "close looks", duration: 40}, {what: "odd requests", duration: 30}, {what: "copies", duration: 40, part: 0.3},
+		{what: "old copies", duration: 40, part: 0.3}, {what: "jobs", who: 6}, {what: "jobs", who: 6}}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*combinations); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 3))
@@ -600,7 +599,7 @@
 			for range 7 + rng.IntN(6) {
 				f := kinds[rng.IntN(len(kinds))]
 				f.at = float64(rng.IntN(600)) / 10
-				f.for_ *= 0.4 + 0.8*rng.Float64()
+				f.duration *= 0.4 + 0.8*rng.Float64()
 				switch f.what { // whom it meets
 				case "state refuses", "state silent", "slow state", "workers silent", "no peers", "alone", "kill":
 					if f.who != all {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -258,12 +258,14 @@
 	raw, _ := json.Marshal(body)
 	j, err := wire.ParseJob(raw)
 	if err != nil {
-		c.t.Fatal(err)
+		c.t.Error(err)
+		return false
 	}
 	c.world.Upload(j)
 	status, _ := c.call(standin.Submit, j.ID, body, j, 20*time.Second)
 	if status != 0 && status != http.StatusCreated && status != http.StatusOK {
-		c.t.Fatalf("submission of %s: status %d", j.ID, status)
+		c.t.Errorf("submission of %s: status %d", j.ID, status)
+		return false
 	}
 	return status != 0
 }
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -78,7 +78,7 @@
 	return u
 }
 
-// HasTurn: the job has waited too long, and it is the turn of such jobs.
+// HasTurn tells whether the job has waited too long and it is the turn of such jobs.
 func (j *Job) HasTurn() bool {
 	return !j.Whole && !j.NoDeadline && j.Turn && j.Age > max(beginWithin, waitFactor*j.Deadline)
 }
@@ -96,7 +96,7 @@
 	return 0
 }
 
-// MustBegin: nothing of the job has ever been placed, and it is time.
+// MustBegin tells whether nothing of the job has ever been placed, and it is time.
 func (j *Job) MustBegin() bool {
 	return !j.Whole && !j.NoDeadline && !j.Begun && j.Age > comeForward
 }
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -64,7 +64,7 @@
 	Closing []string
 }
 
-// ErrVersion: the peer speaks another version.
+// ErrVersion says that the peer speaks another version.
 var ErrVersion = errors.New("mesh: peer speaks another version")
 
 // AppendStatus appends a frame with s to buf.
--- a/internal/standin/check_test.go
+++ b/internal/standin/check_test.go
@@ -18,8 +18,8 @@
 	return Event{At: at(s + 0.5), Kind: Answered, Job: id, Call: call, Asked: at(s), Status: status, State: state, Spec: spec}
 }
 
-func up(s float64, name, typ, zone string, spot bool, cpus float64) Event {
-	return Event{At: at(s), Kind: MachineUp, Machine: name, Type: typ, Zone: zone, Spot: spot, Size: core.Amount(cpus, 0, 64)}
+func up(name, typ, zone string, spot bool, cpus float64) Event {
+	return Event{At: at(0), Kind: MachineUp, Machine: name, Type: typ, Zone: zone, Spot: spot, Size: core.Amount(cpus, 0, 64)}
 }
 
 // run has a task on a machine from one time to another.
@@ -41,7 +41,7 @@
 	plain := job(nil)
 	submit := func(j *wire.Job) Event { return told(1, j.ID, Submit, 201, wire.Queued, j) }
 	two := &wire.Job{ID: "wk-2", Team: "red", Tasks: 2, CPUs: 2, RAM: 1}
-	machines := []Event{up(0, "m1", "small", "a", false, 4), up(0, "m2", "small", "b", true, 4), up(0, "m3", "large", "a", false, 4)}
+	machines := []Event{up("m1", "small", "a", false, 4), up("m2", "small", "b", true, 4), up("m3", "large", "a", false, 4)}
 	ended := Event{At: at(400), Kind: Ended}
 	done := func(s float64, task string) Event { return Event{At: at(s), Kind: TaskDone, Task: task} }
 	one := run(2, 9, "wk-1/0", "m1")
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -62,18 +62,26 @@
 	return &Client{base: "http://" + addr, http: &http.Client{Transport: rt}}
 }
 
-func (c *Client) call(ctx context.Context, limit time.Duration, method, path string, body, out any) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// request is one call of the state service.
+type request struct {
+	method, path string
+	body         any // nil: none
+	limit        time.Duration
+}
+
+// call carries a request out and decodes the answer into out, unless that is nil.
+func (c *Client) call(ctx context.Context, q request, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.limit)
 	defer cancel()
 	var in io.Reader
-	if body != nil {
-		raw, err := json.Marshal(body)
+	if q.body != nil {
+		raw, err := json.Marshal(q.body)
 		if err != nil {
 			return 0, err
 		}
 		in = bytes.NewReader(raw)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, in)
+	req, err := http.NewRequestWithContext(ctx, q.method, c.base+q.path, in)
 	if err != nil {
 		return 0, err
 	}
@@ -122,7 +130,7 @@
 	c.txns.Add(1)
 	c.changes.Add(int64(len(t.Then)))
 	var out wire.TxnAnswer
-	status, err := c.call(ctx, callTimeout, http.MethodPost, "/txn", t, &out)
+	status, err := c.call(ctx, request{http.MethodPost, "/txn", t, callTimeout}, &out)
 	switch {
 	case err != nil:
 		return nil, err
@@ -147,7 +155,7 @@
 			q.Set("since", after)
 		}
 		var page wire.Page
-		status, err := c.call(ctx, 2*callTimeout, http.MethodGet, "/kv?"+q.Encode(), nil, &page)
+		status, err := c.call(ctx, request{http.MethodGet, "/kv?" + q.Encode(), nil, 2 * callTimeout}, &page)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -171,7 +179,7 @@
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 	c.watches.Add(1)
 	var out wire.Events
-	status, err := c.call(ctx, wait+callTimeout, http.MethodGet, "/watch?"+q.Encode(), nil, &out)
+	status, err := c.call(ctx, request{http.MethodGet, "/watch?" + q.Encode(), nil, wait + callTimeout}, &out)
 	if err != nil {
 		return nil, err
 	}
@@ -187,7 +195,7 @@
 // Lease obtains a lease.
 func (c *Client) Lease(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var out wire.LeaseAnswer
-	status, err := c.call(ctx, callTimeout, http.MethodPost, "/leases", wire.LeaseRequest{TTLMS: ttl.Milliseconds()}, &out)
+	status, err := c.call(ctx, request{http.MethodPost, "/leases", wire.LeaseRequest{TTLMS: ttl.Milliseconds()}, callTimeout}, &out)
 	if err != nil {
 		return 0, err
 	}
@@ -200,7 +208,7 @@
 // Renew extends a lease; ErrNoLease means that it has ended.
 func (c *Client) Renew(ctx context.Context, id uint64) error {
 	c.renewals.Add(1)
-	status, err := c.call(ctx, callTimeout, http.MethodPost, fmt.Sprintf("/leases/%d/extend", id), struct{}{}, nil)
+	status, err := c.call(ctx, request{http.MethodPost, fmt.Sprintf("/leases/%d/extend", id), struct{}{}, callTimeout}, nil)
 	if err != nil {
 		return err
 	}
@@ -215,6 +223,6 @@
 
 // End ends a lease at once.
 func (c *Client) End(ctx context.Context, id uint64) error {
-	_, err := c.call(ctx, callTimeout, http.MethodDelete, fmt.Sprintf("/leases/%d", id), nil, nil)
+	_, err := c.call(ctx, request{http.MethodDelete, fmt.Sprintf("/leases/%d", id), nil, callTimeout}, nil)
 	return err
 }
--- a/internal/store/writer_test.go
+++ b/internal/store/writer_test.go
@@ -39,7 +39,7 @@
 // Every unit gets one result, whatever else shares its transaction, and the
 // limits of a transaction hold.
 func TestUnitsAreIndependent(t *testing.T) {
-	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, _ *store.Client) {
 		var mu sync.Mutex
 		got := map[int]error{}
 		var wg sync.WaitGroup
@@ -74,7 +74,7 @@
 
 // "Cancelled" and "done" of one job, submitted together, must not both be granted.
 func TestRivalsDoNotShareATransaction(t *testing.T) {
-	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+	withWriter(t, nil, func(t *testing.T, _ *standin.World, wr *store.Writer, _ *store.Client) {
 		results := make(chan error, 8)
 		for range 8 {
 			u := &store.Unit{Done: func(_ uint64, err error) { results <- err }}
@@ -99,7 +99,7 @@
 // urgent unit is answered at once while the service refuses.
 func TestUnansweredAndRefused(t *testing.T) {
 	tries := 0
-	withWriter(t, func(r *http.Request) standin.Fate {
+	withWriter(t, func(_ *http.Request) standin.Fate {
 		if tries++; tries == 1 {
 			return standin.Late
 		}
@@ -173,7 +173,7 @@
 // A contested unit may fail, and then all that shares its transaction is sent,
 // and counted, again: it shares with few.
 func TestContestedShareWithFew(t *testing.T) {
-	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, _ *store.Client) {
 		var wg sync.WaitGroup
 		for i := range 60 {
 			wg.Add(1)
@@ -190,7 +190,7 @@
 
 // Early units don't wait behind usual ones that were submitted before them.
 func TestEarlyGoFirst(t *testing.T) {
-	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, c *store.Client) {
+	withWriter(t, nil, func(t *testing.T, w *standin.World, wr *store.Writer, _ *store.Client) {
 		w.State.WriteRPS = 60
 		var mu sync.Mutex
 		var order []bool
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The project's whole check: formatting, vet, the deployed build, the tests.
+# The project's whole check: formatting, linters, the deployed build, the tests.
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd internal)
@@ -8,5 +8,7 @@
   exit 1
 fi
 go vet ./...
+go tool staticcheck ./...
+go tool revive -config revive.toml ./...
 go build -ldflags=-linkmode=external -o target/eiderhitch ./cmd/eiderhitch
 go test -race ./...
