--- a/internal/controller/gang_size_test.go
+++ b/internal/controller/gang_size_test.go
@@ -27,10 +27,17 @@
 	return bound, dealt
 }
 
-// setStateLimits has the controllers started from now on keep limits of the state service.
+// setStateLimits gives the state service other limits, and ends all controllers and starts
+// them again with these in their settings.
 func (c *cluster) setStateLimits(valueKB float64, ops int) {
-	for _, n := range c.nodes {
+	for i := range c.nodes {
+		c.kill(i)
+	}
+	c.world.State.SetLimits(int(valueKB*1024), ops)
+	time.Sleep(500 * time.Millisecond)
+	for i, n := range c.nodes {
 		n.cfg.Settings.State.ValueKB, n.cfg.Settings.State.TxnOps = valueKB, ops
+		c.start(i)
 	}
 }
 
@@ -86,9 +93,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			inWorld(t, func(c *cluster) {
-				c.world.State.SetLimits(int(x.valueKB*1024), x.ops)
 				c.setStateLimits(x.valueKB, x.ops)
-				c.restartAll()
 				c.submit(bigGang(x.tasks, x.cpus))
 				c.startsAfterBindings(x.tasks)
 				c.awaitDone("wk-9", 2*time.Minute)
@@ -114,9 +119,7 @@
 		for _, what := range []string{"all restart", "one restarts", "cancelled", "lower limits", "machine dies"} {
 			t.Run(phase.name+" in part, "+what, func(t *testing.T) {
 				inWorld(t, func(c *cluster) {
-					c.world.State.SetLimits(2<<10, 10)
 					c.setStateLimits(2, 10)
-					c.restartAll()
 					c.world.State.WriteRPS = 12 // it stays in part for a while
 					c.submit(bigGang(tasks, 0.25))
 					met := false
@@ -146,9 +149,7 @@
 						c.awaitDone("wk-10", 2*time.Minute)
 						return
 					case "lower limits":
-						c.world.State.SetLimits(1<<10, 8)
 						c.setStateLimits(1, 8)
-						c.restartAll()
 					case "machine dies":
 						c.world.Cloud.Workers()[0].Die()
 					}
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"eiderhitch/internal/mesh"
@@ -36,6 +38,10 @@
 			Addr    string `json:"h,omitempty"`
 		} `json:"t"`
 	}
+	oldHolder struct {
+		Node string `json:"n"`
+		Boot string `json:"b"`
+	}
 	oldLend struct {
 		Job   string `json:"j"`
 		Level int    `json:"l"`
@@ -45,33 +51,140 @@
 	}
 )
 
-// production is a record or frame as the version in production wrote it.
-func production(t *testing.T, name string) []byte {
+// earlier are the versions that operators may upgrade from: the one in production, which
+// has no gangs of the protocol's kind, and the first that has. Their records and frames
+// were written by their own code.
+var earlier = []string{"production", "0da4f63"}
+
+// fixture is a record or frame as an earlier version wrote it.
+func fixture(t *testing.T, version, name string) []byte {
 	t.Helper()
-	raw, err := os.ReadFile(filepath.Join("testdata", "production", name))
+	raw, err := os.ReadFile(filepath.Join("testdata", version, name))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return raw
 }
 
-// Each record that the version in production wrote is read, and written again to the
-// byte: so that version reads what this one writes, and rewriting by either loses nothing.
-func TestRecordsOfTheVersionInProduction(t *testing.T) {
-	for name, v := range map[string]any{
-		"job-live.json": &jobValue{}, "job-gang.json": &jobValue{}, "job-cancelled.json": &jobValue{}, "job-done.json": &jobValue{},
-		"group.json": &groupValue{}, "holder.json": &holder{}, "gone.json": &[]string{}, "lend.json": &lendValue{}, "types.json": &[]wire.MachineType{},
-	} {
-		raw := production(t, name)
-		if err := wire.Decode(raw, v); err != nil {
-			t.Errorf("%s: %v", name, err)
+// storedForm is what a fixture of a record is read into; nil: it is none.
+func storedForm(name string) any {
+	switch kind, _, _ := strings.Cut(strings.TrimSuffix(name, ".json"), "-"); kind {
+	case "job":
+		return &jobValue{}
+	case "group":
+		return &groupValue{}
+	case "lend":
+		return &lendValue{}
+	case "holder":
+		return &holder{}
+	case "gone":
+		return &[]string{}
+	case "types":
+		return &[]wire.MachineType{}
+	}
+	return nil
+}
+
+// Each record that an earlier version wrote is read, and written again to the byte: so that
+// version reads what this one writes, and rewriting by either loses nothing.
+func TestRecordsOfEarlierVersions(t *testing.T) {
+	for _, version := range earlier {
+		files, err := os.ReadDir(filepath.Join("testdata", version))
+		if err != nil || len(files) < 10 {
+			t.Fatalf("%d fixtures of %s: %v", len(files), version, err)
 		}
-		if again := mustJSON(v); !bytes.Equal(again, raw) {
-			t.Errorf("%s: read and written again it is\n%s, not\n%s", name, again, raw)
+		for _, f := range files {
+			v := storedForm(f.Name())
+			if v == nil {
+				continue
+			}
+			raw := fixture(t, version, f.Name())
+			if err := wire.Decode(raw, v); err != nil {
+				t.Errorf("%s of %s: %v", f.Name(), version, err)
+			}
+			if again := mustJSON(v); !bytes.Equal(again, raw) {
+				t.Errorf("%s of %s: read and written again it is\n%s, not\n%s", f.Name(), version, again, raw)
+			}
 		}
 	}
 }
 
+// readByProduction tells what the version in production can't read of a stored value, or
+// would lose when it writes it again; and whether what it takes for a gang is one.
+func readByProduction(key string, raw []byte) error {
+	var v any
+	switch {
+	case strings.HasPrefix(key, preGroup):
+		v = &oldGroup{}
+	case strings.HasPrefix(key, preJob):
+		v = &oldJob{}
+	case strings.HasPrefix(key, preLend):
+		v = &oldLend{}
+	case strings.HasPrefix(key, preGone):
+		v = &[]string{}
+	case key == keyTypes:
+		v = &[]wire.MachineType{}
+	default:
+		v = &oldHolder{}
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("%s: %s: %w", key, raw, err)
+	}
+	again, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(again, raw) {
+		return fmt.Errorf("%s: the version in production makes %s of %s", key, again, raw)
+	}
+	return nil
+}
+
+// checkStored checks that the version in production can read all that was ever written, and
+// that tasks of a gang that are bound in one record have one attempt.
+func (c *cluster) checkStored() {
+	c.t.Helper()
+	gangs := map[string]bool{}
+	for _, e := range c.world.State.History() {
+		if e.Put == "" {
+			continue
+		}
+		if err := readByProduction(e.Put, e.Value); err != nil && !c.foreign[e.Put] {
+			c.t.Error(err)
+			return
+		}
+		if id, ok := strings.CutPrefix(e.Put, preJob); ok {
+			var v oldJob
+			_ = json.Unmarshal(e.Value, &v)
+			gangs[id] = gangs[id] || v.Job != nil && v.Job.Gang
+		}
+		if id, _, ok := splitGroupKey(e.Put); ok && strings.HasPrefix(e.Put, preGroup) && gangs[id] {
+			var v oldGroup
+			_ = json.Unmarshal(e.Value, &v)
+			if err := oneAttempt(&v); err != nil {
+				c.t.Errorf("%s: %v", e.Put, err)
+			}
+		}
+	}
+}
+
+// oneAttempt checks that bound tasks of a gang's record have one attempt.
+func oneAttempt(v *oldGroup) error {
+	attempt := uint64(0)
+	for _, task := range v.Tasks {
+		if task.Machine == "" {
+			continue
+		}
+		if attempt != 0 && task.Attempt != attempt {
+			return fmt.Errorf("attempts %d and %d are bound together", attempt, task.Attempt)
+		}
+		attempt = task.Attempt
+	}
+	return nil
+}
+
 // And the other way: whatever this version writes, the one in production has a field for
 // all of it. That it takes a gang's attempts, a pool's lending and pieces of a record for
 // what it knows is in docs/design.md.
@@ -83,29 +196,30 @@
 	spec := &wire.Job{ID: "wk-2", Team: "t", Gang: true, Tasks: 3, CPUs: 2, CheckS: 4, Types: []string{"small"}}
 	r := &rec{part: 1, zone: "a", own: true, cap: 3}
 	entries := []entry{{num: 0, attempt: 2, m: m, session: 2}, {num: 1, attempt: 2}, {num: 2, attempt: 2, m: m, session: 2}}
-	strict := func(raw []byte, v any) {
+	strict := func(key string, raw []byte) {
 		t.Helper()
-		d := json.NewDecoder(bytes.NewReader(raw))
-		d.DisallowUnknownFields()
-		if err := d.Decode(v); err != nil {
-			t.Errorf("%s: %v", raw, err)
-		}
-		again, _ := json.Marshal(v)
-		if !bytes.Equal(again, raw) {
-			t.Errorf("the version in production makes %s of %s", again, raw)
+		if err := readByProduction(key, raw); err != nil {
+			t.Error(err)
 		}
 	}
-	strict(mustJSON(jobValue{At: 5, Job: spec}), &oldJob{})
-	strict(b.cancelledValue(&job{spec: spec, at: b.now}), &oldJob{})
+	strict(jobKey("wk-2"), mustJSON(jobValue{At: 5, Job: spec}))
+	strict(jobKey("wk-2"), b.cancelledValue(&job{spec: spec, at: b.now}))
 	for _, piece := range b.fit(r, 2, append(entries, make([]entry, 60)...)) {
-		strict(piece, &oldGroup{})
+		strict(groupKey("wk-2", 0), piece)
 	}
-	strict(mustJSON(lendValue{Job: poolJob, Ack: true}), &oldLend{})
+	strict(preLend+"host-1", mustJSON(lendValue{Job: poolJob, Ack: true}))
 }
 
 // Frames between controllers are the same in both versions, to the byte.
-func TestFramesOfTheVersionInProduction(t *testing.T) {
-	raw := production(t, "status.bin")
+func TestFramesOfEarlierVersions(t *testing.T) {
+	for _, version := range earlier {
+		framesOf(t, version)
+	}
+}
+
+func framesOf(t *testing.T, version string) {
+	t.Helper()
+	raw := fixture(t, version, "status.bin")
 	s, err := mesh.ReadStatus(bytes.NewReader(raw))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -32,6 +32,8 @@
 	nodes []*node
 	user  *standin.Net
 	mu    sync.Mutex // of what several users share
+	// foreign are keys whose values a test has written itself.
+	foreign map[string]bool
 	// looks: until then users ask everywhere as soon as they were told something.
 	looks atomic.Pointer[time.Time]
 }
@@ -97,6 +99,7 @@
 		for _, b := range w.Breaches() {
 			t.Error(b)
 		}
+		c.checkStored()
 		if w.State.Excess > 0 {
 			t.Errorf("%d transactions were beyond the limits", w.State.Excess)
 		}
@@ -731,7 +734,9 @@
 func TestUndecodableRecord(t *testing.T) {
 	inWorld(t, func(c *cluster) {
 		time.Sleep(3 * time.Second)
+		c.foreign = map[string]bool{}
 		put := func(key, value string) {
+			c.foreign[key] = true
 			raw := fmt.Sprintf(`{"if":[],"then":[{"write":%q,"v":%s}]}`, key, value)
 			req, _ := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://state:1/txn", strings.NewReader(raw))
 			if resp, err := c.user.RoundTrip(req); err != nil || resp.StatusCode != 200 {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -78,7 +78,7 @@
 		names := []string{}
 		for range n {
 			id := len(c.rentals) + 1
-			x := &rental{CloudMachine: wire.CloudMachine{Name: fmt.Sprintf("host-%06d", id), Addr: fmt.Sprintf("10.1.%d.%d:9000", id/250, id%250),
+			x := &rental{CloudMachine: wire.CloudMachine{Name: fmt.Sprintf("host-%06d", id), Addr: c.world.machineAddr(id),
 				Type: q.Type, Zone: q.Zone, Spot: q.Spot, State: wire.MachineStarting}, since: time.Now()}
 			var t wire.MachineType
 			for _, y := range c.types {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -104,6 +104,13 @@
 	return out
 }
 
+// History is every change so far.
+func (s *State) History() []wire.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.log)
+}
+
 // Keys lists the stored keys below prefix.
 func (s *State) Keys(prefix string) []string {
 	s.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -23,6 +23,12 @@
 type World struct {
 	ReportS, LeaseS, CancelS, GangWaitS, GangPeerS float64
 
+	// Listen, if set, is told of each handler and its address, to serve it outside of
+	// this process as well.
+	Listen func(addr string, h http.Handler)
+	// MachineAddr, if set, is the address of the machine with a number.
+	MachineAddr func(number int) string
+
 	spread time.Duration // by which the time that messages take differs
 	nets   uint64
 
@@ -61,11 +67,21 @@
 }
 
 func (w *World) serve(addr string, h http.Handler) {
+	if w.Listen != nil && h != nil {
+		w.Listen(addr, h)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.handlers[addr] = h
 }
 
+func (w *World) machineAddr(number int) string {
+	if w.MachineAddr != nil {
+		return w.MachineAddr(number)
+	}
+	return fmt.Sprintf("10.1.%d.%d:9000", number/250, number%250)
+}
+
 // Serve puts a handler at an address; nil takes it away.
 func (w *World) Serve(addr string, h http.Handler) { w.serve(addr, h) }
 
