Gangs' room: empty machines are taken whatever else will come empty some time

Machines that came up empty went to arrays, since others that were to come empty some time were counted.

--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -181,52 +181,35 @@
 	if len(p.classes) == 0 {
 		return
 	}
-	lent := len(b.lends)
-	most := max(2, int(poolShare*float64(len(hosts))))
 	room := core.Clone(hosts) // what is left of it after the classes before
+	left := max(2, int(poolShare*float64(len(hosts)))) - len(b.lends)
 	var chosen []*core.Host
 	for _, c := range p.sorted() {
-		spec := c.spec
-		n := c.room()
-		zone := b.poolZone(room, c)
+		spec, zone := c.spec, b.poolZone(room, c)
 		fits := func(h *core.Host) bool {
 			return !h.Booting && allowed(spec, zone, h.Type, h.Zone, h.Spot)
 		}
-		for _, h := range room {
-			if h.Part == b.lentPart() && fits(h) {
-				k := h.Free.Fits(c.need, n)
-				h.Free = h.Free.Minus(c.need.Times(k))
-				n -= k
-			}
-		}
-		for name, l := range b.lends { // on their way
-			m := b.machine(name)
-			if t := b.types[m.typ]; l.Job == poolJob && !l.Ack && t != nil && allowed(spec, zone, m.typ, m.zone, m.spot) {
-				n -= core.Amount(t.CPUs, t.GPUs, t.RAM).Fits(c.need, spec.Tasks)
-			}
-		}
-		if n <= 0 {
+		lacks := c.room() - takeRoom(room, c, func(h *core.Host) bool { return h.Part == b.lentPart() && fits(h) })
+		empty, busy := b.roomLent(c, zone)
+		if lacks-empty <= 0 {
 			continue
 		}
-		p.missing = append(p.missing, core.Want{Class: spec.Class, Need: c.need, Count: n, Service: true, Estimate: spec.EstimateS, Slack: math.Inf(1),
-			Allows: func(typ, zoneOf string, spot bool) bool { return allowed(spec, zone, typ, zoneOf, spot) }})
-		var can []*core.Host
-		for _, h := range room {
-			if fits(h) && h.Part != b.lentPart() && !h.Touched && !h.Pinned && !b.lead.closing[b.byIdx[h.ID].name] {
-				can = append(can, h)
-			}
+		if n := lacks - empty - busy; n > 0 {
+			p.missing = append(p.missing, core.Want{Class: spec.Class, Need: c.need, Count: n, Service: true, Estimate: spec.EstimateS, Slack: math.Inf(1),
+				Allows: func(typ, zoneOf string, spot bool) bool { return allowed(spec, zone, typ, zoneOf, spot) }})
 		}
-		slices.SortFunc(can, func(x, y *core.Host) int {
-			return cmp.Or(cmp.Compare(len(x.Claims), len(y.Claims)), cmp.Compare(y.Size.Fits(c.need, n), x.Size.Fits(c.need, n)), cmp.Compare(x.ID, y.ID))
-		})
-		for _, h := range can {
-			if n <= 0 || lent+len(chosen) >= most {
-				break
-			}
-			n -= h.Size.Fits(c.need, n)
-			h.Touched = true
-			chosen = append(chosen, h)
+		can := b.mayLend(room, fits)
+		// Machines that are empty are had at once, whatever else will come empty some time:
+		// arrays would fill them, and gangs wait for the others for most of a minute.
+		free := pickHosts(can, c, lacks-empty, left, func(h *core.Host) bool { return len(h.Claims) == 0 })
+		left -= len(free)
+		got := 0
+		for _, h := range free {
+			got += h.Size.Fits(c.need, spec.Tasks)
 		}
+		soon := pickHosts(can, c, lacks-empty-busy-got, left, func(h *core.Host) bool { return len(h.Claims) > 0 })
+		left -= len(soon)
+		chosen = append(append(chosen, free...), soon...)
 	}
 	if len(chosen) == 0 {
 		return
@@ -236,6 +219,70 @@
 	b.borrowMachines(chosen, nil, lendValue{Job: poolJob})
 }
 
+// takeRoom takes free room for the tasks of a class's next gangs from hosts, and returns for
+// how many there is.
+func takeRoom(hosts []*core.Host, c *gangClass, in func(*core.Host) bool) int {
+	got := 0
+	for _, h := range hosts {
+		if in(h) {
+			k := h.Free.Fits(c.need, c.room()-got)
+			h.Free = h.Free.Minus(c.need.Times(k))
+			got += k
+		}
+	}
+	return got
+}
+
+// roomLent is for how many tasks of a class there will be room on machines that are on
+// their way to the pool: empty ones, and such as come empty some time.
+func (b *brain) roomLent(c *gangClass, zone string) (empty, busy int) {
+	for name, l := range b.lends {
+		m := b.machine(name)
+		t := b.types[m.typ]
+		if l.Job != poolJob || l.Ack || t == nil || !allowed(c.spec, zone, m.typ, m.zone, m.spot) {
+			continue
+		}
+		n := core.Amount(t.CPUs, t.GPUs, t.RAM).Fits(c.need, c.spec.Tasks)
+		if len(m.bound) == 0 {
+			empty += n
+		} else {
+			busy += n
+		}
+	}
+	return empty, busy
+}
+
+// mayLend are hosts of other parts that may be lent, the emptiest and largest first.
+func (b *brain) mayLend(hosts []*core.Host, fits func(*core.Host) bool) []*core.Host {
+	var can []*core.Host
+	for _, h := range hosts {
+		if fits(h) && h.Part != b.lentPart() && !h.Touched && !h.Pinned && !b.lead.closing[b.byIdx[h.ID].name] {
+			can = append(can, h)
+		}
+	}
+	slices.SortFunc(can, func(x, y *core.Host) int {
+		return cmp.Or(cmp.Compare(len(x.Claims), len(y.Claims)), cmp.Compare(y.Size.CPU, x.Size.CPU), cmp.Compare(x.ID, y.ID))
+	})
+	return can
+}
+
+// pickHosts picks, of hosts in their order, at most so many as have room for n tasks.
+func pickHosts(hosts []*core.Host, c *gangClass, n, most int, in func(*core.Host) bool) []*core.Host {
+	var out []*core.Host
+	for _, h := range hosts {
+		if n <= 0 || len(out) >= most {
+			break
+		}
+		if h.Touched || !in(h) {
+			continue
+		}
+		n -= h.Size.Fits(c.need, n)
+		h.Touched = true
+		out = append(out, h)
+	}
+	return out
+}
+
 // poolZone is the zone in which the pool has the most room for a gang that must be in
 // one; "" for any.
 func (b *brain) poolZone(hosts []*core.Host, c *gangClass) string {
