Gangs and lower limits crossed with the troubles; what was not seen to fail without its guard

Nine rows of faults for gangs, hand-overs and limits that fall; generated schedules draw them too. Mutants of the guards showed what no test missed: an attempt that can't be completed or has lost a task, stops that don't wait for reports, the count of a gang that is dealt in part, records that follow the first. Each has a test now.

--- a/internal/controller/gang_clauses_test.go
+++ b/internal/controller/gang_clauses_test.go
@@ -173,6 +173,16 @@
 				}
 			}
 		}, true},
+		{"none reports for a while", func(c *cluster, _ *standin.Worker) func() {
+			for _, w := range c.world.Cloud.Workers() {
+				w.SetMute(true)
+			}
+			return func() {
+				for _, w := range c.world.Cloud.Workers() {
+					w.SetMute(false)
+				}
+			}
+		}, true},
 		{"one is cut off", func(_ *cluster, w *standin.Worker) func() {
 			w.SetCut(true)
 			return func() { w.SetCut(false) }
@@ -186,15 +196,23 @@
 				c.submit(b)
 				c.reaches(wire.Running, gangTasks)
 				time.Sleep(21 * time.Second)
-				undo := x.hold(c, c.on("wk-9"))
-				c.world.Cloud.SetCapacity(0)
-				c.submit(jobBody("wk-2", wire.Array, "blue", "urgent", 30, 2, 3))
+				w := c.on("wk-9")
+				undo := x.hold(c, w)
+				c.drain(w)
+				if x.saves {
+					time.Sleep(6 * time.Second) // to hear and to save, and less than a lease
+					if n := c.world.Running("wk-9"); n > 0 {
+						t.Errorf("%d tasks have not heard in time", n)
+					}
+					undo()
+				}
 				c.await("it has left", 40*time.Second, func() bool { return c.world.Running("wk-9") == 0 })
 				if saved := c.world.Saved("wk-9") >= 20*time.Second; saved != x.saves {
 					t.Errorf("%v are saved", c.world.Saved("wk-9"))
 				}
-				undo()
-				c.world.Cloud.SetCapacity(20)
+				if !x.saves {
+					undo()
+				}
 				c.awaitDone("wk-9", 4*time.Minute)
 			})
 		})
@@ -240,6 +258,52 @@
 	}
 }
 
+// An attempt that has run and lost a task, or can't be completed, is broken: the others are
+// stopped at once, without time to save, rather than when they find out. One that waits is
+// not: its task is replaced.
+func TestWhenAnAttemptIsBroken(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		state  string
+		why    string
+		lost   bool
+		broken bool
+	}{
+		{"all wait", wire.Gathering, "", false, false}, {"one is lost while they wait", wire.Gathering, "", true, false},
+		{"all run", wire.Running, "", false, false}, {"one is lost while they run", wire.Running, "", true, true},
+		{"one is lost while they save", wire.Saving, "", true, true},
+		{"one was not joined in time", wire.Exited, wire.WhyAlone, false, true},
+		{"one has failed", wire.Exited, wire.WhyError, false, true},
+		{"one has found out", wire.Exited, wire.WhyPeers, false, true},
+	} {
+		b := lone(t)
+		p := b.parts[0]
+		m := b.machine("host-1")
+		b.takeReport(m, &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
+		b.put(jobKey("wk-1"), raw(t, jobValue{At: b.now.UnixMilli(), Job: &wire.Job{ID: "wk-1", Gang: true, Tasks: 2, CPUs: 1, CheckS: 5, SaveS: 2, Team: "t"}}), 2)
+		tasks := []entryValue{{Num: 0, Attempt: 1, Machine: "host-1", Session: 1}, {Num: 1, Attempt: 1, Machine: "host-1", Session: 1}}
+		if x.lost {
+			tasks[1] = entryValue{Num: 1, Attempt: 1}
+		}
+		b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: tasks}), 3)
+		r := &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 2, Token: 1, Tasks: []wire.TaskReport{{Task: "wk-1/0", Attempt: 1, State: x.state, Why: x.why}}}
+		if !x.lost {
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: "wk-1/1", Attempt: 1, State: wire.Running})
+			if x.state == wire.Gathering || x.why == wire.WhyAlone {
+				r.Tasks[1].State = wire.Gathering
+			}
+		}
+		b.takeReport(m, r, p, true)
+		j := b.jobs["wk-1"]
+		if got := b.broken(j); got != x.broken {
+			t.Errorf("%s: broken is %v", x.name, got)
+		}
+		if grace := b.grace(j); (grace > 0) == x.broken {
+			t.Errorf("%s: %v s to save", x.name, grace)
+		}
+	}
+}
+
 // One task that is done is all done: in one change with the job's fate, whether the others'
 // reports have come or say that others are gone; and a controller that takes over when
 // only a part of the records is stored as done ends the rest.
--- a/internal/controller/gang_size_test.go
+++ b/internal/controller/gang_size_test.go
@@ -175,7 +175,9 @@
 	if j.together(1, "a") {
 		t.Fatal("the records are together")
 	}
-	b.gatherGangs()
+	b.leaderGained(1)
+	b.lead.active = true
+	b.leadStep()
 	if b.lead.writes != 1 {
 		t.Errorf("%d transactions have the records follow the first", b.lead.writes)
 	}
@@ -207,3 +209,17 @@
 		t.Error("no machines of two parts are borrowed for it")
 	}
 }
+
+// A gang that is dealt in part counts whole for its team's limit, within its guarantee or
+// not: what it lacks is not given to others in between.
+func TestGangDealtInPartCountsWhole(t *testing.T) {
+	for _, own := range []bool{false, true} {
+		b := lone(t)
+		b.put(jobKey("wk-1"), raw(t, jobValue{At: b.now.UnixMilli(), Job: &wire.Job{ID: "wk-1", Team: "t", Gang: true, Tasks: 5, CPUs: 2}}), 2)
+		b.put(groupKey("wk-1", 0), raw(t, groupValue{Own: own, Tasks: []entryValue{{Num: 0}, {Num: 1}}}), 3)
+		l := b.limits()[b.team("t")]
+		if l.Used.CPU != 10_000 || (l.OwnUsed.CPU == 10_000) != own {
+			t.Errorf("it counts for %v, within the guarantee (%v) for %v", l.Used, own, l.OwnUsed)
+		}
+	}
+}
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -302,6 +302,16 @@
 		for range f.who {
 			s.newJob()
 		}
+	case "gangs": // all at once, of one priority
+		for n := range f.who {
+			b := gangBody("", "blue", "normal", 3+n%3, 8)
+			b["samePlace"], b["imageGb"] = n%2 == 0, 2
+			s.submitJob(b)
+		}
+	case "urgent work":
+		s.submitJob(jobBody("", wire.Array, "blue", "urgent", f.who, 2, 3))
+	case "limits fall": // to what the settings announced, see play
+		s.world.State.SetLimits(comingValue, comingOps)
 	case "one-task jobs": // four a second
 		go func() {
 			for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(250 * time.Millisecond) {
@@ -483,6 +493,12 @@
 	return id
 }
 
+// The limits that the state service has once they have fallen.
+const (
+	comingValue = 1 << 10
+	comingOps   = 8
+)
+
 // play has a cluster at work meet faults, ends them, and waits until all that was
 // accepted is done, runs or is gone. Whatever happens is checked from outside.
 func play(t *testing.T, seed uint64, jobs int, faults []fault) {
@@ -508,6 +524,9 @@
 				return standin.Deliver
 			})
 		}
+		if slices.ContainsFunc(faults, func(f fault) bool { return f.what == "limits fall" }) {
+			c.announce(comingValue, comingOps)
+		}
 		s.scarce = seed%3 > 0
 		c.world.Cloud.SetCapacity([]int{20, 8, 5}[seed%3])
 		for range jobs {
@@ -541,6 +560,17 @@
 	})
 }
 
+// announce has the controllers start anew with settings that name lower limits to come.
+func (c *cluster) announce(value, ops int) {
+	for i := range c.nodes {
+		c.kill(i)
+	}
+	for i, n := range c.nodes {
+		n.cfg.Settings.State.ValueKB, n.cfg.Settings.State.TxnOps = float64(value)/1024, ops
+		c.start(i)
+	}
+}
+
 // settle waits until all is as it should be once the troubles are over.
 func (s *scene) settle() {
 	s.t.Helper()
@@ -591,7 +621,7 @@
 		{what: "kill", who: all, duration: 0.5}, {what: "kill", who: all, duration: 14}, {what: "zone", duration: 25}, {what: "deaf", who: 2, duration: 25}, {what: "mute", who: 2, duration: 25}, {what: "hang", who: 2, duration: 8},
 		{what: "hang", who: 2, duration: 30}, {what: "cut", who: 2, duration: 20}, {what: "sick", who: 1, duration: 20}, {what: "die", who: 2}, {what: "back at once", who: 2}, {what: "cancel", who: 3}, {what: "cancel", who: 3},
 		{what: "cancel and hang", who: 3, duration: 7}, {what: "cancel at end", duration: 40, part: 0.4}, {what: "close looks", duration: 40}, {what: "odd requests", duration: 30}, {what: "copies", duration: 40, part: 0.3},
-		{what: "old copies", duration: 40, part: 0.3}, {what: "jobs", who: 6}, {what: "jobs", who: 6}}
+		{what: "old copies", duration: 40, part: 0.3}, {what: "jobs", who: 6}, {what: "jobs", who: 6}, {what: "gangs", who: 4}, {what: "gangs", who: 4}, {what: "urgent work", who: 20}, {what: "limits fall"}}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*combinations); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 3))
--- a/internal/controller/rows_test.go
+++ b/internal/controller/rows_test.go
@@ -49,6 +49,15 @@
 		{"odd requests, restarts", 10, []fault{{on, "odd requests", 0, 70, 0}, {10, "kill", leading, 4, 0}, {20, "cancel", 4, 0, 0}, {30, "kill", all, 1, 0}}, 0},
 		{"a gang dealt to a part that has lost its room", 10, []fault{{1.8, "cut", 2, 15.7, 0}, {24.8, "old copies", 0, 41.5, 0.3}, {26.7, "hang", 2, 13.6, 0}, {31, "close looks", 0, 38.8, 0}, {31.3, "copies", 0, 42.5, 0.3}, {32.4, "kill", all, 0.5, 0}, {34.6, "kill", all, 0.5, 0}, {59.1, "close looks", 0, 43.9, 0}}, 1004},
 		{"gangs gather room one after the other beside small work", 10, []fault{{0.6, "outage", 0, 50, 0}, {1.7, "slow state", 0, 24.9, 0.3}, {4.2, "cloud down", 0, 40.8, 0}, {11.6, "slow state", leading, 29.9, 0.3}, {24.1, "slow state", 1, 14.7, 0.3}, {25.5, "jobs", 6, 0, 0}, {39.3, "back at once", 2, 0, 0}, {52.2, "zone", 0, 25.9, 0}, {55.9, "jobs", 6, 0, 0}}, 155},
+		{"limits fall during a hand-over", 10, []fault{{on, "gangs", 4, 0, 0}, {5, "kill", 0, 6, 0}, {6, "limits fall", 0, 0, 0}, {7, "gangs", 3, 0, 0}, {14, "kill", 1, 0.4, 0}, {20, "cancel", 4, 0, 0}}, 0},
+		{"limits fall while gangs stop", 10, []fault{{on, "gangs", 4, 0, 0}, {12, "no capacity", 0, 30, 0}, {12, "urgent work", 40, 0, 0}, {13, "limits fall", 0, 0, 0}, {14, "kill", leading, 5, 0}}, 0},
+		{"machines die without notice during a rollout", 10, []fault{{on, "gangs", 4, 0, 0}, {5, "kill", 0, 2, 0}, {6, "die", 5, 0, 0}, {10, "kill", 1, 2, 0}, {11, "die", 4, 0, 0}, {15, "kill", 2, 2, 0}, {18, "gangs", 3, 0, 0}, {19, "die", 3, 0, 0}}, 0},
+		{"cloud out while gangs wait for a task", 8, []fault{{on, "gangs", 4, 0, 0}, {2, "cloud down", 0, 40, 0}, {3, "die", 2, 0, 0}, {9, "die", 2, 0, 0}, {20, "kill", leading, 5, 0}}, 0},
+		{"members on machines that hang, are deaf, mute or sick", 8, []fault{{on, "gangs", 5, 0, 0}, {4, "hang", 2, 8, 0}, {8, "deaf", 2, 25, 0}, {12, "mute", 2, 25, 0}, {16, "sick", 2, 20, 0}, {20, "gangs", 3, 0, 0}}, 0},
+		{"leader ends between reserving, binding and starting", 8, []fault{{5, "gangs", 3, 0, 0}, {5.15, "kill", leading, 0.3, 0}, {20, "gangs", 3, 0, 0}, {20.25, "kill", leading, 4, 0}, {35, "gangs", 3, 0, 0}, {35.4, "kill", all, 0.5, 0}}, 0},
+		{"late and copied reports of an earlier attempt", 8, []fault{{on, "gangs", 5, 0, 0}, {on, "copies", 0, 70, 0.6}, {on, "old copies", 0, 70, 0.4}, {8, "back at once", 3, 0, 0}, {16, "die", 2, 0, 0}, {24, "kill", leading, 0.5, 0}, {30, "keep reports", 0, 0, 0}, {31, "back at once", 3, 0, 0}, {36, "kept reports arrive", 0, 0, 0}}, 0},
+		{"late stops and starts of gangs", 8, []fault{{on, "gangs", 5, 0, 0}, {on, "late commands", all, 60, 0.6}, {12, "no capacity", 0, 30, 0}, {12, "urgent work", 40, 0, 0}, {30, "gangs", 3, 0, 0}, {32, "cancel", 3, 0, 0}}, 0},
+		{"gangs done and cancelled at once", 6, []fault{{on, "gangs", 6, 0, 0}, {on, "cancel at end", 0, 80, 0.6}, {20, "gangs", 5, 0, 0}, {25, "kill", leading, 5, 0}}, 0},
 	} {
 		t.Run(x.name, func(t *testing.T) { play(t, cmp.Or(x.seed, usualSeed), x.jobs, x.faults) })
 	}
