--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"eiderhitch/internal/config"
 	"eiderhitch/internal/standin"
 	"eiderhitch/internal/wire"
 )
@@ -225,3 +227,52 @@
 		c.awaitDone("wk-1", 2*time.Minute)
 	})
 }
+
+// What users send for gangs and may get back: malformed ones are refused as such, one that
+// is known is never refused, whatever the settings say by now, and one that is cancelled
+// stays so.
+func TestAnswersForGangs(t *testing.T) {
+	inWorld(t, func(c *cluster) {
+		time.Sleep(5 * time.Second)
+		for i, x := range []struct {
+			name   string
+			change func(map[string]any)
+			status int
+		}{
+			{"unknown shape", func(b map[string]any) { b["shape"] = "herd" }, http.StatusBadRequest},
+			{"no number of tasks", func(b map[string]any) { delete(b, "eggs") }, http.StatusBadRequest},
+			{"negative time to save", func(b map[string]any) { b["stowS"] = -1 }, http.StatusBadRequest},
+			{"all tasks are beyond the limit", func(b map[string]any) { b["crew"], b["eggs"] = "red", 13 }, http.StatusUnprocessableEntity},
+			{"a task fits no allowed type", func(b map[string]any) { b["hulls"], b["cpus"] = []string{"small"}, 5 }, http.StatusUnprocessableEntity},
+			{"no allowed type is in its zone", func(b map[string]any) { b["hulls"], b["shore"] = []string{"large"}, "b" }, http.StatusUnprocessableEntity},
+			{"an unknown team", func(b map[string]any) { b["crew"] = "green" }, http.StatusUnprocessableEntity},
+			{"more than there are machines of", func(b map[string]any) { b["eggs"] = 900 }, http.StatusCreated},
+		} {
+			id := fmt.Sprintf("wk-5%d", i)
+			b := gangBody(id, "blue", "normal", 3, 5)
+			x.change(b)
+			if status, _ := c.call(standin.Submit, id, b, nil, 10*time.Second); status != x.status {
+				t.Errorf("%s: status %d, not %d", x.name, status, x.status)
+			}
+		}
+		c.submit(gangBody("wk-7", "blue", "normal", 3, 200))
+		c.abort("wk-7")
+		c.submit(gangBody("wk-6", "red", "normal", 10, 200))
+		c.await("it runs", time.Minute, func() bool { return c.world.Running("wk-6") == 10 })
+		for _, n := range c.nodes { // by now it could never run
+			n.cfg.Settings.Teams = []config.Team{{Name: "blue"}, {Name: "red", CPUs: 2, CPUsMax: 4}}
+		}
+		c.restartAll()
+		if status, out := c.call(standin.Submit, "wk-6", gangBody("wk-6", "red", "normal", 10, 200), nil, 20*time.Second); status != http.StatusOK || out["tide"] != wire.Running {
+			t.Errorf("repeated after a restart with lower limits: %d %v", status, out)
+		}
+		if status, out := c.call(standin.Submit, "wk-7", gangBody("wk-7", "blue", "normal", 3, 200), nil, 20*time.Second); status != http.StatusOK || out["tide"] != wire.Cancelled {
+			t.Errorf("a cancelled one, repeated: %d %v", status, out)
+		}
+		if status, _ := c.call(standin.Poll, "wk-77", nil, nil, 10*time.Second); status != http.StatusNotFound {
+			t.Errorf("an unknown one: %d", status)
+		}
+		c.abort("wk-6")
+		c.await("it is gone", 30*time.Second, func() bool { return c.world.Running("wk-6") == 0 })
+	})
+}
