--- a/cmd/eiderhitch/main.go
+++ b/cmd/eiderhitch/main.go
@@ -1,86 +1,71 @@
-// Command eiderhitch is a controller of the eiderhitch cluster scheduler.
+// Command eiderhitch is a controller of the eiderhitch cluster scheduler, and the
+// operators' commands for a cluster of them.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
-	"log/slog"
-	"math"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"strings"
-	"syscall"
 
 	"github.com/alecthomas/kong"
-
-	"eiderhitch/internal/config"
-	"eiderhitch/internal/controller"
 )
 
-var version = "0.1.0"
+// version is the program's version.
+const version = "0.1.0"
 
 type cli struct {
-	Config   string           `help:"The platform's settings file (TOML)." placeholder:"FILE" required:"" type:"path"`
-	Settings string           `help:"The operators' own settings (S-expressions); defaults without." placeholder:"FILE" type:"path"`
-	Check    bool             `help:"Check the settings and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Run     runCommand       `cmd:"" default:"withargs" help:"Run a controller."`
+	Upgrade upgradeCommand   `cmd:"" help:"Show and steer a staged upgrade (docs/upgrading.md)."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// exitFailed is the exit status of whatever failed and has none of its own.
+const exitFailed = 1
+
+// exitError is an error with the exit status that it leads to.
+type exitError struct {
+	status int
+	err    error
 }
 
+// Error is the error in one line.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap is the error without the exit status.
+func (e *exitError) Unwrap() error { return e.err }
+
 func main() {
 	var c cli
-	kong.Parse(&c, kong.Name("eiderhitch"), kong.Description("A cluster scheduler: one controller of the service."),
-		kong.Vars{"version": "eiderhitch " + version})
-	if err := run(&c); err != nil {
+	ctx := kong.Parse(&c, kong.Name("eiderhitch"), kong.Description("A cluster scheduler: a controller of the service, and operators' commands."),
+		kong.Vars{"version": "eiderhitch " + build()})
+	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "eiderhitch:", err)
-		os.Exit(1)
+		os.Exit(statusOf(err))
 	}
 }
 
-// live has the runtime keep to the platform's limits.
-func live(p *config.Platform, log *slog.Logger) {
-	m := p.Memory()
-	debug.SetGCPercent(m.Garbage)
-	debug.SetMemoryLimit(m.Limit)
-	// More threads than the share of processor time is for only wake each other up.
-	if n := int(math.Ceil(p.Settings.Limits.CPUShare)); n > 0 && n < runtime.GOMAXPROCS(0) {
-		runtime.GOMAXPROCS(n)
+// statusOf is the exit status that an error leads to.
+func statusOf(err error) int {
+	if e, ok := errors.AsType[*exitError](err); ok {
+		return e.status
 	}
-	log.Info("limits", "node", p.Name, "memory_limit_mb", m.Limit>>20, "garbage_percent", m.Garbage,
-		"connections", p.Connections(), "direct_commands", p.DirectCommands(), "procs", runtime.GOMAXPROCS(0))
+	return exitFailed
 }
 
-func run(c *cli) error {
-	level := slog.LevelInfo
-	if s := os.Getenv("LOG_LEVEL"); s != "" {
-		if err := level.UnmarshalText([]byte(strings.ToUpper(s))); err != nil {
-			return fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", s)
-		}
-	}
-	p, err := config.Load(c.Config)
-	if err != nil {
-		return err
-	}
-	op := config.DefaultOperator()
-	if c.Settings != "" {
-		if op, err = config.LoadOperator(c.Settings, p); err != nil {
-			return err
-		}
+// revisionLength is how much of a commit's name is shown.
+const revisionLength = 12
+
+// build names the version and, as far as it is known, the commit.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return version
 	}
-	if c.Check {
-		for _, w := range p.Warnings() {
-			fmt.Println("warning:", w)
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return version + " " + s.Value[:min(len(s.Value), revisionLength)]
 		}
-		fmt.Println("settings are valid")
-		return nil
-	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	for _, w := range p.Warnings() {
-		log.Warn("limit", "node", p.Name, "why", w)
 	}
-	live(p, log)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return controller.Run(ctx, p, op, log)
+	return version
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -23,6 +23,15 @@
 	RightTTL time.Duration
 	// Spot: rent spot machines for jobs that may use them.
 	Spot bool
+	// FeatureLevels: this controller tells which levels it reads, and takes part in
+	// raising the level in force (docs/upgrades.md).
+	FeatureLevels bool
+	// FinalizeAfter: an active level becomes final after this time without a restart of
+	// any controller; 0: only by an operator's word.
+	FinalizeAfter time.Duration
+	// RewriteShare is the part of the state service's changes a second that may go into
+	// storing records in another form.
+	RewriteShare float64
 }
 
 // DefaultOperator are the settings without a file.
@@ -36,6 +45,8 @@
 		// The least that a process short of processor time renews safely.
 		RightTTL: 4 * time.Second,
 		Spot:     true,
+		// What users notice nothing of: their writes go first, and are few.
+		RewriteShare: 0.1,
 	}
 }
 
@@ -103,6 +114,12 @@
 			}
 		case "spot":
 			err = choice(e, &o.Spot)
+		case "feature-levels":
+			err = choice(e, &o.FeatureLevels)
+		case "finalize-after":
+			err = span(e, &o.FinalizeAfter, time.Second, 30*24*time.Hour)
+		case "rewrite-share":
+			err = number(e, &o.RewriteShare, 0.001, 0.5)
 		default:
 			err = errorAt(e.List[0].Pos, "unknown setting %q", name)
 		}
--- a/internal/controller/alloc_test.go
+++ b/internal/controller/alloc_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -47,7 +48,7 @@
 			return func() { r.Seq++; b.report(r) }
 		}},
 		{"a report decoded", 24, func(b *brain) func() {
-			raw := mustJSON(b.reportOf(b.ours()))
+			raw := record.JSON(b.reportOf(b.ours()))
 			return func() {
 				if _, err := wire.ParseReport(raw); err != nil {
 					t.Error(err)
@@ -69,7 +70,7 @@
 					r = x
 				}
 			}
-			raw, stamp := r.value(r.done, r.entries), r.stamp
+			raw, stamp := b.content(r, r.done, r.entries).At(r.key), r.stamp
 			return func() { stamp++; b.put(r.key, raw, stamp) }
 		}},
 		{"a poll of a job that is over", 2, func(b *brain) func() {
@@ -100,7 +101,7 @@
 		b := crowded(t, machines)
 		n := float64(len(b.parts[0].machines))
 		var frame []byte
-		if got := testing.AllocsPerRun(20, func() { frame = mesh.AppendStatus(nil, b.status()) }); got > 30 {
+		if got := testing.AllocsPerRun(20, func() { frame = mesh.AppendStatus(nil, b.status(), mesh.Plain) }); got > 30 {
 			t.Errorf("%d machines: %v allocations to send a status", machines, got)
 		}
 		s := &mesh.Status{}
@@ -137,7 +138,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := crowded(b, n)
 			r := c.reportOf(c.ours())
-			raw := mustJSON(r)
+			raw := record.JSON(r)
 			for b.Loop() {
 				x, err := wire.ParseReport(raw)
 				if err != nil {
@@ -161,7 +162,7 @@
 					r = x
 				}
 			}
-			raw, stamp := r.value(r.done, r.entries), r.stamp+1<<32
+			raw, stamp := c.content(r, r.done, r.entries).At(r.key), r.stamp+1<<32
 			for b.Loop() {
 				stamp++
 				c.put(r.key, raw, stamp)
@@ -175,7 +176,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := crowded(b, n)
 			for b.Loop() {
-				mesh.AppendStatus(nil, c.status())
+				mesh.AppendStatus(nil, c.status(), mesh.Plain)
 			}
 		})
 	}
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -11,6 +11,8 @@
 
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/record"
+	"eiderhitch/internal/rollout"
 	"eiderhitch/internal/wire"
 )
 
@@ -40,14 +42,14 @@
 	s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = 4, 24, 54
 	s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 150, 60, 8, 32
 	s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
-	b := newBrain(ctx, cfg, config.DefaultOperator(), slog.New(slog.NewTextHandler(io.Discard, nil)), outside{state: nowhere{}, cloud: nowhere{}, workers: nowhere{}, send: func([]byte) {}})
+	b := newBrain(ctx, cfg, config.DefaultOperator(), slog.New(slog.NewTextHandler(io.Discard, nil)), outside{state: nowhere{}, cloud: nowhere{}, workers: nowhere{}, send: func(string, []byte) {}})
 	b.loaded, b.freshAt, b.startedAt = true, b.now, b.now.Add(-time.Hour)
 	b.putTypes(testTypes)
 	stamp := uint64(10)
 	for n := range count {
 		stamp++
 		node := fmt.Sprintf("n%d", n)
-		b.put(partKey(n), mustJSON(holder{node, "x"}), stamp)
+		b.put(rollout.Initial.Keys().Partition(n), record.JSON(record.Holder{Node: node, Boot: "x"}), stamp)
 		b.siblingsFor(node, n)
 	}
 	p := b.parts[0]
@@ -75,10 +77,10 @@
 		stamp++
 		j := &wire.Job{ID: fmt.Sprintf("wk-%06d", id), Class: class, Team: team, Service: kind == wire.Service, Priority: priority, Tasks: tasks,
 			CPUs: cpus, RAM: 2, Image: "img", EstimateS: 40, DeadlineS: 200}
-		b.put(jobKey(j.ID), mustJSON(jobValue{At: b.now.UnixMilli(), Job: j}), stamp)
+		b.put(jobKey(j.ID), record.JSON(record.Job{At: b.now.UnixMilli(), Job: j}), stamp)
 		return j.ID
 	}
-	perPart := map[int][]entryValue{}
+	perPart := map[int][]record.Task{}
 	array := job(wire.Array, "clean", "blue", 1, machines*4, 2)
 	num := int32(0)
 	for i, m := range all {
@@ -86,12 +88,12 @@
 			for range 8 {
 				stamp++
 				b.put(groupKey(job(wire.Service, "feed", "red", 2, 1, 2), 0),
-					mustJSON(groupValue{Part: m.home, Own: true, Tasks: []entryValue{{Attempt: 1, Machine: m.name, Session: 1}}}), stamp)
+					record.JSON(record.Group{Part: m.home, Own: true, Tasks: []record.Task{{Attempt: 1, Machine: m.name, Session: 1}}}), stamp)
 			}
 			continue
 		}
 		for range 8 {
-			perPart[m.home] = append(perPart[m.home], entryValue{Num: num, Attempt: 1, Machine: m.name, Session: 1})
+			perPart[m.home] = append(perPart[m.home], record.Task{Num: num, Attempt: 1, Machine: m.name, Session: 1})
 			num++
 		}
 	}
@@ -100,7 +102,7 @@
 		for len(tasks) > 0 {
 			n := min(len(tasks), b.maxRec)
 			stamp++
-			b.put(groupKey(array, k), mustJSON(groupValue{Part: part, Tasks: tasks[:n]}), stamp)
+			b.put(groupKey(array, k), record.JSON(record.Group{Part: part, Tasks: tasks[:n]}), stamp)
 			tasks, k = tasks[n:], k+1
 		}
 	}
--- a/internal/controller/bindings.go
+++ b/internal/controller/bindings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -194,13 +195,13 @@
 	for _, piece := range pieces[1:] {
 		key := groupKey(job.id, job.newRec())
 		u.If = append(u.If, wire.Condition{Key: key})
-		u.Then = append(u.Then, wire.Change{Put: key, Value: piece})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: piece.At(key)})
 	}
-	u.Then = append(u.Then, wire.Change{Put: r.key, Value: pieces[0]})
+	u.Then = append(u.Then, wire.Change{Put: r.key, Value: pieces[0].At(r.key)})
 	ending := b.endsJob(r, update)
 	if ending {
 		job.ending = true
-		u.Then = append(u.Then, wire.Change{Put: jobKey(job.id), Value: mustJSON(jobValue{Fate: done})})
+		u.Then = append(u.Then, wire.Change{Put: jobKey(job.id), Value: record.JSON(record.Job{Fate: done})})
 	}
 	r.writing, r.unit = true, u
 	b.metrics.count(cStored, 1)
--- a/internal/controller/brain_test.go
+++ b/internal/controller/brain_test.go
@@ -11,6 +11,7 @@
 
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/wire"
 )
 
@@ -51,9 +52,9 @@
 		p := b.parts[0]
 		b.takeReport(b.machine("host-1"), &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1}, p, true)
 		spec := &wire.Job{ID: "wk-1", Tasks: 2, CPUs: 2, RAM: 1, Team: "t", NoDeadline: true}
-		b.put(jobKey("wk-1"), raw(t, jobValue{Job: spec}), 2)
+		b.put(jobKey("wk-1"), raw(t, record.Job{Job: spec}), 2)
 		key := groupKey("wk-1", 0)
-		b.put(key, raw(t, groupValue{Tasks: []entryValue{{Num: 0}, {Num: 1}}}), 3)
+		b.put(key, raw(t, record.Group{Tasks: []record.Task{{Num: 0}, {Num: 1}}}), 3)
 		b.place(p, b.recByKey[key], map[shape]bool{})
 		if len(p.alloc) != 2 {
 			t.Fatalf("%d tasks have claimed cells", len(p.alloc))
@@ -62,7 +63,7 @@
 		if how == "deleted" {
 			b.drop(key, 4)
 		} else {
-			b.put(key, raw(t, groupValue{Tasks: []entryValue{{Num: 1}}}), 4)
+			b.put(key, raw(t, record.Group{Tasks: []record.Task{{Num: 1}}}), 4)
 			left = 1
 		}
 		if len(p.alloc) != left || len(p.cells.Tasks()) != left {
@@ -105,10 +106,10 @@
 	b := lone(t)
 	b.leaderGained(5)
 	b.lead.active = true
-	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 9, CPUs: 1, Team: "t", NoDeadline: true}}), 6)
-	g := groupValue{Cap: 1}
+	b.put(jobKey("wk-1"), raw(t, record.Job{Job: &wire.Job{ID: "wk-1", Tasks: 9, CPUs: 1, Team: "t", NoDeadline: true}}), 6)
+	g := record.Group{Cap: 1}
 	for i := range int32(9) {
-		g.Tasks = append(g.Tasks, entryValue{Num: i})
+		g.Tasks = append(g.Tasks, record.Task{Num: i})
 	}
 	key := groupKey("wk-1", 0)
 	b.put(key, raw(t, g), 7)
@@ -143,16 +144,16 @@
 	b := lone(t)
 	p := b.parts[0]
 	b.takeReport(b.machine("host-1"), &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
-	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 2, CPUs: 2, RAM: 1, Team: "t", NoDeadline: true}}), 2)
+	b.put(jobKey("wk-1"), raw(t, record.Job{Job: &wire.Job{ID: "wk-1", Tasks: 2, CPUs: 2, RAM: 1, Team: "t", NoDeadline: true}}), 2)
 	key := groupKey("wk-1", 0)
-	b.put(key, raw(t, groupValue{Tasks: []entryValue{{Num: 0}, {Num: 1}}}), 3)
+	b.put(key, raw(t, record.Group{Tasks: []record.Task{{Num: 0}, {Num: 1}}}), 3)
 	r := b.recByKey[key]
 	b.place(p, r, map[shape]bool{})
 	if len(p.alloc) != 2 {
 		t.Fatalf("%d tasks have claimed cells", len(p.alloc))
 	}
 	r.writing = true // the leader's move, of this very process
-	b.put(key, raw(t, groupValue{Part: 1, Tasks: []entryValue{{Num: 0}, {Num: 1}}}), 4)
+	b.put(key, raw(t, record.Group{Part: 1, Tasks: []record.Task{{Num: 0}, {Num: 1}}}), 4)
 	if len(p.alloc) != 0 || len(p.cells.Tasks()) != 0 {
 		t.Errorf("%d claims and %d cells are left", len(p.alloc), len(p.cells.Tasks()))
 	}
@@ -162,11 +163,11 @@
 // record must not come back to life.
 func TestLateResultOfADeletedRecord(t *testing.T) {
 	b := lone(t)
-	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 1, CPUs: 1, Team: "t"}}), 2)
+	b.put(jobKey("wk-1"), raw(t, record.Job{Job: &wire.Job{ID: "wk-1", Tasks: 1, CPUs: 1, Team: "t"}}), 2)
 	key := groupKey("wk-1", 0)
-	b.put(key, raw(t, groupValue{Tasks: []entryValue{{Num: 0}}}), 3)
+	b.put(key, raw(t, record.Group{Tasks: []record.Task{{Num: 0}}}), 3)
 	b.events(&wire.Events{Revision: 9, Events: []wire.Event{{Delete: key, Version: 9}}})
-	b.put(key, raw(t, groupValue{Done: 1}), 5)
+	b.put(key, raw(t, record.Group{Done: 1}), 5)
 	if b.recByKey[key] != nil || len(b.jobs["wk-1"].recs) != 0 {
 		t.Error("a deleted record is back")
 	}
@@ -188,8 +189,8 @@
 	if n := b.wr.Backlog(); n > time.Second/10 {
 		t.Errorf("the backlog is %v", n)
 	}
-	b.put(preGone+"host-000001", mustJSON(names[1:4]), 20)
-	b.put(preGone+"host-000009", mustJSON(true), 21)
+	b.put(preGone+"host-000001", record.JSON(names[1:4]), 20)
+	b.put(preGone+"host-000009", record.JSON(true), 21)
 	for i, gone := range map[int]bool{0: false, 1: true, 2: true, 3: true, 4: false, 9: true} {
 		if b.machine(names[i]).gone != gone {
 			t.Errorf("%s is gone: %v", names[i], !gone)
@@ -246,10 +247,10 @@
 		b.takeReport(b.machine("host-1"), &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
 		for i, team := range []string{"blue", "red"} {
 			id := fmt.Sprintf("wk-%d", i+1)
-			b.put(jobKey(id), raw(t, jobValue{Job: &wire.Job{ID: id, Tasks: 1, CPUs: 4, RAM: 1, Team: team, Priority: 1, NoDeadline: true}}), uint64(2*i+2))
+			b.put(jobKey(id), raw(t, record.Job{Job: &wire.Job{ID: id, Tasks: 1, CPUs: 4, RAM: 1, Team: team, Priority: 1, NoDeadline: true}}), uint64(2*i+2))
 		}
-		b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: []entryValue{{Attempt: 1, Machine: "host-1", Session: 1}}}), 10)
-		b.put(groupKey("wk-2", 0), raw(t, groupValue{Own: true, Tasks: []entryValue{{}}}), 11)
+		b.put(groupKey("wk-1", 0), raw(t, record.Group{Tasks: []record.Task{{Attempt: 1, Machine: "host-1", Session: 1}}}), 10)
+		b.put(groupKey("wk-2", 0), raw(t, record.Group{Own: true, Tasks: []record.Task{{}}}), 11)
 		r := b.recByKey[groupKey("wk-2", 0)]
 		r.since = b.now.Add(-x.waited)
 		p.endsBefore, p.endsSince = x.ends, b.now
@@ -277,9 +278,9 @@
 		spec.ID = fmt.Sprintf("wk-%08d", i)
 		stamp := uint64(2*i + 10)
 		if i%2 == 0 { // it ran while this controller did, else it is read after a start
-			b.put(jobKey(spec.ID), raw(t, jobValue{Job: spec}), stamp)
+			b.put(jobKey(spec.ID), raw(t, record.Job{Job: spec}), stamp)
 		}
-		b.put(jobKey(spec.ID), raw(t, jobValue{Fate: cancelled + i/2%2}), stamp+1)
+		b.put(jobKey(spec.ID), raw(t, record.Job{Fate: cancelled + i/2%2}), stamp+1)
 		if i%500 != 499 {
 			continue
 		}
@@ -309,7 +310,7 @@
 	// A late copy of an older change does not bring it back.
 	spec.ID = "wk-00000002"
 	b.cursor = 0
-	b.put(jobKey(spec.ID), raw(t, jobValue{Job: spec}), 14)
+	b.put(jobKey(spec.ID), raw(t, record.Job{Job: spec}), 14)
 	if j := b.known(spec.ID); j.fate != done || len(b.jobs) != 0 {
 		t.Errorf("%s went back to %s", spec.ID, j.state().State)
 	}
@@ -330,13 +331,13 @@
 		}
 	}
 	group := func(machine string) json.RawMessage {
-		return raw(t, groupValue{Tasks: []entryValue{{Attempt: 1, Machine: machine, Session: 1}}})
+		return raw(t, record.Group{Tasks: []record.Task{{Attempt: 1, Machine: machine, Session: 1}}})
 	}
-	b.put(jobKey("wk-1"), raw(t, jobValue{Job: spec}), 10)
-	b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: []entryValue{{}}}), 11)
+	b.put(jobKey("wk-1"), raw(t, record.Job{Job: spec}), 10)
+	b.put(groupKey("wk-1", 0), raw(t, record.Group{Tasks: []record.Task{{}}}), 11)
 	b.cursor = 11
 	used("dealt:", 2)
-	gone := raw(t, jobValue{Fate: cancelled, Job: spec})
+	gone := raw(t, record.Job{Fate: cancelled, Job: spec})
 	b.put(jobKey("wk-1"), gone, 20) // our own write's result
 	used("cancelled here:", 2)
 	b.events(&wire.Events{Revision: 21, Events: []wire.Event{
@@ -346,7 +347,7 @@
 	used("proven gone:", 0)
 
 	// The same where not even the dealing is known yet.
-	b.put(jobKey("wk-2"), raw(t, jobValue{Job: spec}), 30)
+	b.put(jobKey("wk-2"), raw(t, record.Job{Job: spec}), 30)
 	b.cursor = 30
 	b.put(jobKey("wk-2"), gone, 40)
 	b.events(&wire.Events{Revision: 41, Events: []wire.Event{
--- a/internal/controller/caps.go
+++ b/internal/controller/caps.go
@@ -71,7 +71,7 @@
 	b.metrics.count(cCapped, 1)
 	b.lead.writes++
 	b.write(&store.Unit{Early: true, Contested: true,
-		If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: r.key, Version: r.stamp}},
-		Then: []wire.Change{{Put: r.key, Value: changed.value(r.done, r.entries)}},
+		If:   []wire.Condition{b.leaderCondition(), {Key: r.key, Version: r.stamp}},
+		Then: []wire.Change{{Put: r.key, Value: b.content(&changed, r.done, r.entries).At(r.key)}},
 	}, func(err error) { r.writing = false; b.leadWrote(epoch, err) })
 }
--- a/internal/controller/causes_test.go
+++ b/internal/controller/causes_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"eiderhitch/internal/config"
+	"eiderhitch/internal/record"
+	"eiderhitch/internal/rollout"
 	"eiderhitch/internal/standin"
 	"eiderhitch/internal/wire"
 
@@ -110,8 +112,8 @@
 	p := b.parts[0]
 	m := b.machine("host-1")
 	b.takeReport(m, &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
-	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 1, CPUs: 1, Team: "t"}}), 2)
-	b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: []entryValue{{Attempt: 1, Machine: "host-1", Session: 1}}}), 3)
+	b.put(jobKey("wk-1"), raw(t, record.Job{Job: &wire.Job{ID: "wk-1", Tasks: 1, CPUs: 1, Team: "t"}}), 2)
+	b.put(groupKey("wk-1", 0), raw(t, record.Group{Tasks: []record.Task{{Attempt: 1, Machine: "host-1", Session: 1}}}), 3)
 	if cmds := b.commands(m, p); len(cmds) != 1 || cmds[0].Op != wire.OpStart {
 		t.Fatalf("commands %v", cmds)
 	}
@@ -129,7 +131,7 @@
 func TestWhoIsToBlameForFailures(t *testing.T) {
 	b := lone(t)
 	job := func(id string) *job {
-		b.put(jobKey(id), raw(t, jobValue{Job: &wire.Job{ID: id, Tasks: 9, CPUs: 1, Team: "t"}}), b.cursor+uint64(len(b.vers))+5)
+		b.put(jobKey(id), raw(t, record.Job{Job: &wire.Job{ID: id, Tasks: 9, CPUs: 1, Team: "t"}}), b.cursor+uint64(len(b.vers))+5)
 		return b.jobs[id]
 	}
 	bad, worse := job("wk-1"), job("wk-2")
@@ -270,12 +272,12 @@
 // else will ever know. Its job waited for ever.
 func TestEndOfAnotherPartsTask(t *testing.T) {
 	b := lone(t)
-	b.parts = append([]*part{b.parts[0], {n: 1, key: partKey(1)}}, &part{n: 2, key: keyLeader})
+	b.parts = append([]*part{b.parts[0], {n: 1, key: rollout.Initial.Keys().Partition(1)}}, &part{n: 2, key: rollout.Initial.Keys().Leader()})
 	p := b.parts[0]
-	b.put(jobKey("wk-1"), raw(t, jobValue{Job: &wire.Job{ID: "wk-1", Tasks: 2, CPUs: 1, Team: "t", NoDeadline: true}}), 6)
+	b.put(jobKey("wk-1"), raw(t, record.Job{Job: &wire.Job{ID: "wk-1", Tasks: 2, CPUs: 1, Team: "t", NoDeadline: true}}), 6)
 	key := groupKey("wk-1", 0)
-	value := func(machine string) groupValue {
-		return groupValue{Part: 2, Tasks: []entryValue{{Attempt: 1, Machine: machine, Session: 1}, {Num: 1}}}
+	value := func(machine string) record.Group {
+		return record.Group{Part: 2, Tasks: []record.Task{{Attempt: 1, Machine: machine, Session: 1}, {Num: 1}}}
 	}
 	b.put(key, raw(t, value("host-1")), 7)
 	r := b.recByKey[key]
--- a/internal/controller/deal.go
+++ b/internal/controller/deal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -34,7 +35,16 @@
 	// A gang that is dealt in several transactions counts whole from the first on: it
 	// can't be begun without the rest.
 	for _, j := range b.atHand {
-		if j.fate != live || j.spec == nil || !j.spec.Gang {
+		if j.fate != live || j.spec == nil {
+			continue
+		}
+		// What a record that can't be decoded binds may run: it counts until it is known.
+		if j.bad() {
+			dealt, _ := j.dealt()
+			l := &out[j.team]
+			l.Used = l.Used.Plus(j.need.Times(min(j.spec.Tasks-dealt, len(j.unreadable)*mostEntries)))
+		}
+		if !j.spec.Gang {
 			continue
 		}
 		if dealt, _ := j.dealt(); dealt > 0 && dealt < j.spec.Tasks {
@@ -55,7 +65,7 @@
 	wants, lost := b.settleDealt(hosts, byUrgency)
 	var jobs []*job
 	for _, j := range b.atHand {
-		if j.fate == live && j.spec != nil && j.stamp != 0 && !j.bad && j.waits() {
+		if j.fate == live && j.spec != nil && j.stamp != 0 && !j.bad() && j.waits() {
 			jobs = append(jobs, j)
 		}
 	}
@@ -312,7 +322,7 @@
 		own = 0 // one claim for all of it, and one record
 	}
 	claim := core.Claim{Level: spec.Priority, Own: own > 0, Team: j.team}
-	var chunks []groupValue
+	var chunks []record.Group
 	next := int32(dealt)
 	add := func(part int, zone string, n int) {
 		for n > 0 {
@@ -320,7 +330,7 @@
 			if own > 0 {
 				k = min(k, own)
 			}
-			chunks = append(chunks, newGroupValue(part, zone, own > 0, next, k))
+			chunks = append(chunks, newGroup(part, zone, own > 0, next, k))
 			own = max(0, own-k)
 			next += int32(k)
 			n -= k
@@ -397,20 +407,20 @@
 	return b.want(j, zone, room-got)
 }
 
-// newGroupValue is a record of tasks that are dealt for the first time.
-func newGroupValue(part int, zone string, own bool, first int32, tasks int) groupValue {
-	g := groupValue{Part: part, Zone: zone, Own: own}
+// newGroup is a record of tasks that are dealt for the first time.
+func newGroup(part int, zone string, own bool, first int32, tasks int) record.Group {
+	g := record.Group{Part: part, Zone: zone, Own: own}
 	for num := first; num < first+int32(tasks); num++ {
-		g.Tasks = append(g.Tasks, entryValue{Num: num})
+		g.Tasks = append(g.Tasks, record.Task{Num: num})
 	}
 	return g
 }
 
 // inOneTxn is how much of a list of records one transaction can create.
-func (b *brain) inOneTxn(chunks []groupValue) []groupValue {
+func (b *brain) inOneTxn(chunks []record.Group) []record.Group {
 	size := 0
 	for i := range chunks {
-		size += len(mustJSON(chunks[i])) + recordOverhead
+		size += chunks[i].Encode(b.form()).Size() + recordOverhead
 		if i > 0 && (i == b.cfg.Settings.State.TxnOps || size > store.MaxTxnBytes) {
 			return chunks[:i]
 		}
@@ -427,9 +437,9 @@
 // transaction at a time; a new leader goes on where the last one stopped.
 func (b *brain) dealRest(j *job, dealt int) {
 	first := j.firstRec()
-	var chunks []groupValue
+	var chunks []record.Group
 	for next := dealt; next < j.spec.Tasks; next += b.maxRec {
-		chunks = append(chunks, newGroupValue(first.part, first.zone, first.own, int32(next), min(b.maxRec, j.spec.Tasks-next)))
+		chunks = append(chunks, newGroup(first.part, first.zone, first.own, int32(next), min(b.maxRec, j.spec.Tasks-next)))
 	}
 	b.writeDealing(j, b.inOneTxn(chunks))
 }
@@ -437,11 +447,11 @@
 // writeDealing stores the records of one dealing. All of them are written together or
 // not at all: which tasks are dealt already is known by their number alone, so a gap,
 // left by one write that failed, would have a later dealing hand out tasks twice.
-func (b *brain) writeDealing(j *job, chunks []groupValue) {
+func (b *brain) writeDealing(j *job, chunks []record.Group) {
 	if len(chunks) == 0 {
 		return
 	}
-	u := &store.Unit{Prompt: j.spec.Gang, Early: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	u := &store.Unit{Prompt: j.spec.Gang, Early: true, If: []wire.Condition{b.leaderCondition(), {Key: jobKey(j.id), Version: j.stamp}}}
 	empty := j.emptyRecs()
 	var used []*rec
 	tasks := 0
@@ -456,7 +466,7 @@
 			key = groupKey(j.id, j.newRec())
 		}
 		u.If = append(u.If, wire.Condition{Key: key, Version: stamp})
-		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(g)})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: g.Encode(b.form()).At(key)})
 	}
 	j.dealtAt = b.now
 	b.lead.writes++
@@ -521,7 +531,7 @@
 }
 
 // spreadRoom is how many more tasks may go to a zone: half of all, rounded up.
-func (b *brain) spreadRoom(j *job, zone string, more []groupValue) int {
+func (b *brain) spreadRoom(j *job, zone string, more []record.Group) int {
 	n := (j.spec.Tasks + 1) / 2
 	for _, r := range j.recs {
 		if r.zone == zone {
--- a/internal/controller/gang_clauses_test.go
+++ b/internal/controller/gang_clauses_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/standin"
 	"eiderhitch/internal/wire"
 )
@@ -280,12 +281,12 @@
 		p := b.parts[0]
 		m := b.machine("host-1")
 		b.takeReport(m, &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
-		b.put(jobKey("wk-1"), raw(t, jobValue{At: b.now.UnixMilli(), Job: &wire.Job{ID: "wk-1", Gang: true, Tasks: 2, CPUs: 1, CheckS: 5, SaveS: 2, Team: "t"}}), 2)
-		tasks := []entryValue{{Num: 0, Attempt: 1, Machine: "host-1", Session: 1}, {Num: 1, Attempt: 1, Machine: "host-1", Session: 1}}
+		b.put(jobKey("wk-1"), raw(t, record.Job{At: b.now.UnixMilli(), Job: &wire.Job{ID: "wk-1", Gang: true, Tasks: 2, CPUs: 1, CheckS: 5, SaveS: 2, Team: "t"}}), 2)
+		tasks := []record.Task{{Num: 0, Attempt: 1, Machine: "host-1", Session: 1}, {Num: 1, Attempt: 1, Machine: "host-1", Session: 1}}
 		if x.lost {
-			tasks[1] = entryValue{Num: 1, Attempt: 1}
+			tasks[1] = record.Task{Num: 1, Attempt: 1}
 		}
-		b.put(groupKey("wk-1", 0), raw(t, groupValue{Tasks: tasks}), 3)
+		b.put(groupKey("wk-1", 0), raw(t, record.Group{Tasks: tasks}), 3)
 		r := &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 2, Token: 1, Tasks: []wire.TaskReport{{Task: "wk-1/0", Attempt: 1, State: x.state, Why: x.why}}}
 		if !x.lost {
 			r.Tasks = append(r.Tasks, wire.TaskReport{Task: "wk-1/1", Attempt: 1, State: wire.Running})
@@ -313,15 +314,15 @@
 		p := b.parts[0]
 		m := b.machine("host-1")
 		b.takeReport(m, &wire.Report{Machine: "host-1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}, p, true)
-		b.put(jobKey("wk-1"), raw(t, jobValue{At: b.now.UnixMilli(), Job: &wire.Job{ID: "wk-1", Gang: true, Tasks: 4, CPUs: 1, Team: "t"}}), 2)
+		b.put(jobKey("wk-1"), raw(t, record.Job{At: b.now.UnixMilli(), Job: &wire.Job{ID: "wk-1", Gang: true, Tasks: 4, CPUs: 1, Team: "t"}}), 2)
 		var recs []*rec
 		for k := range records {
-			var tasks []entryValue
+			var tasks []record.Task
 			for n := k * 4 / records; n < (k+1)*4/records; n++ {
-				tasks = append(tasks, entryValue{Num: int32(n), Attempt: 1, Machine: "host-1", Session: 1})
+				tasks = append(tasks, record.Task{Num: int32(n), Attempt: 1, Machine: "host-1", Session: 1})
 			}
 			key := groupKey("wk-1", k)
-			b.put(key, raw(t, groupValue{Tasks: tasks}), uint64(3+k))
+			b.put(key, raw(t, record.Group{Tasks: tasks}), uint64(3+k))
 			recs = append(recs, b.recByKey[key])
 		}
 		return b, p, recs
@@ -355,7 +356,7 @@
 		t.Errorf("none is done: %d done, %d left", update.done, len(update.entries))
 	}
 	b, p, recs = setUp(t, 2)
-	b.put(recs[0].key, raw(t, groupValue{Done: 2, Tasks: []entryValue{}}), 9) // by the owner before
+	b.put(recs[0].key, raw(t, record.Group{Done: 2, Tasks: []record.Task{}}), 9) // by the owner before
 	report(b, p, 2, map[int]string{2: wire.WhyPeers, 3: wire.WhyPeers})
 	if update := b.planUpdate(p, recs[1]); update.done != 2 || !b.endsJob(recs[1], &update) {
 		t.Errorf("half is stored as done: %d more are", update.done)
--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -214,7 +214,7 @@
 		x.since = b.now
 	}
 	x.status, x.at = s, b.now
-	if b.holders[keyLeader].Node == s.Node {
+	if b.holders[b.leaderKey()].Node == s.Node {
 		b.closing = map[string]bool{}
 		for _, name := range s.Closing {
 			b.closing[name] = true
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -123,7 +124,7 @@
 		if j.stamp == 0 || len(j.recs) == 0 {
 			continue
 		}
-		if j.fate == live && j.bad {
+		if j.fate == live && j.bad() {
 			continue
 		}
 		if j.fate == live {
@@ -132,8 +133,8 @@
 				budget--
 				j.ending = true
 				b.write(&store.Unit{
-					If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}},
-					Then: []wire.Change{{Put: jobKey(j.id), Value: mustJSON(jobValue{Fate: done})}},
+					If:   []wire.Condition{b.leaderCondition(), {Key: jobKey(j.id), Version: j.stamp}},
+					Then: []wire.Change{{Put: jobKey(j.id), Value: record.JSON(record.Job{Fate: done})}},
 				}, func(error) { j.ending = false })
 			}
 			continue
@@ -145,7 +146,7 @@
 			budget--
 			r.writing = true
 			b.write(&store.Unit{
-				If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: r.key, Version: r.stamp}},
+				If:   []wire.Condition{b.leaderCondition(), {Key: r.key, Version: r.stamp}},
 				Then: []wire.Change{{Delete: r.key}},
 			}, func(err error) {
 				if err != nil { // its owner wrote it meanwhile: not before that is known
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -8,6 +8,7 @@
 
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -21,17 +22,8 @@
 // that the former owner has used, fences that owner's commands; a new term of
 // the owner does the same when the machine is handed back.
 
-// lendValue is the stored form of a lending.
-type lendValue struct {
-	Job   string `json:"j"`
-	Level int    `json:"l"`
-	Own   bool   `json:"o,omitempty"`
-	Team  string `json:"t"`
-	Ack   bool   `json:"a,omitempty"`
-}
-
 type lend struct {
-	lendValue
+	record.Loan
 	stamp   uint64
 	writing bool
 	leaving bool // it is being handed back: nothing is placed on it any more
@@ -53,14 +45,14 @@
 // lentPart is the number of the leader's own part.
 func (b *brain) lentPart() int { return len(b.parts) - 1 }
 
-func (b *brain) putLend(name string, v *lendValue, stamp uint64) {
+func (b *brain) putLend(name string, v *record.Loan, stamp uint64) {
 	m := b.machine(name)
 	l := b.lends[name]
 	if l == nil {
 		l = &lend{since: b.now}
 		b.lends[name] = l
 	}
-	l.lendValue, l.stamp = *v, stamp
+	l.Loan, l.stamp = *v, stamp
 	if !b.moved(m) && !l.Ack {
 		b.kick(m) // stops what the group may evict
 	}
@@ -104,11 +96,11 @@
 			continue
 		}
 		l.writing = true
-		v := l.lendValue
+		v := l.Loan
 		v.Ack = true
 		b.write(&store.Unit{Prompt: true,
 			If:   []wire.Condition{{Key: p.key, Version: p.term}, {Key: preLend + name, Version: l.stamp}},
-			Then: []wire.Change{{Put: preLend + name, Value: mustJSON(v)}},
+			Then: []wire.Change{{Put: preLend + name, Value: record.JSON(v)}},
 		}, func(error) { l.writing = false })
 	}
 }
@@ -164,7 +156,7 @@
 	// As many as one change can be; the others follow in the next steps.
 	chosen = chosen[:min(len(chosen), b.cfg.Settings.State.TxnOps)]
 	b.log.Info("machines are borrowed for a group", "job", j.id, "machines", len(chosen))
-	b.borrowMachines(chosen, []wire.Condition{{Key: jobKey(j.id), Version: j.stamp}}, lendValue{Job: j.id, Level: c.Level, Own: c.Own, Team: j.spec.Team})
+	b.borrowMachines(chosen, []wire.Condition{{Key: jobKey(j.id), Version: j.stamp}}, record.Loan{Job: j.id, Level: c.Level, Own: c.Own, Team: j.spec.Team})
 	return true
 }
 
@@ -194,8 +186,8 @@
 
 // borrowMachines lends machines to the leader's part, if the parts that they are in have
 // not changed hands meanwhile.
-func (b *brain) borrowMachines(chosen []*core.Host, cond []wire.Condition, v lendValue) {
-	u := &store.Unit{Prompt: true, If: append([]wire.Condition{{Key: keyLeader, Version: b.lead.term}}, cond...)}
+func (b *brain) borrowMachines(chosen []*core.Host, cond []wire.Condition, v record.Loan) {
+	u := &store.Unit{Prompt: true, If: append([]wire.Condition{b.leaderCondition()}, cond...)}
 	parts := map[int]bool{}
 	for _, h := range chosen {
 		h.Touched, h.Free = true, core.Res{}
@@ -205,7 +197,7 @@
 			parts[h.Part] = true
 			u.If = append(u.If, wire.Condition{Key: b.parts[h.Part].key, Version: b.vers[b.parts[h.Part].key]})
 		}
-		u.Then = append(u.Then, wire.Change{Put: key, Value: mustJSON(v)})
+		u.Then = append(u.Then, wire.Change{Put: key, Value: record.JSON(v)})
 	}
 	b.lead.writes++
 	epoch := b.lead.epoch
@@ -281,7 +273,7 @@
 func (b *brain) handBack(name string, l *lend) {
 	l.writing, l.leaving = true, true
 	b.write(&store.Unit{
-		If:   []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: preLend + name, Version: l.stamp}},
+		If:   []wire.Condition{b.leaderCondition(), {Key: preLend + name, Version: l.stamp}},
 		Then: []wire.Change{{Delete: preLend + name}},
 	}, func(error) { l.writing, l.leaving = false, false })
 }
--- /dev/null
+++ b/internal/controller/levels.go
@@ -0,0 +1,278 @@
+package controller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"eiderhitch/internal/api"
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/record"
+	"eiderhitch/internal/rollout"
+	"eiderhitch/internal/store"
+	"eiderhitch/internal/wire"
+)
+
+// levels is what a controller knows of feature levels: the stored state, who reads what,
+// and in which forms records are stored. The decisions are in internal/rollout.
+type levels struct {
+	supported rollout.Range
+	state     rollout.State
+	version   uint64 // of the stored state; 0: none is stored
+	// refusal is why this process must not serve; nil: it may.
+	refusal     error
+	keys        rollout.Keys // of the rights
+	controllers map[string]rollout.Registered
+	forms       map[record.Form]int // records by the form they are stored in
+	unreadable  map[string]bool     // keys of groups that can't be decoded
+	writing     bool                // a step is on its way
+	rewrites    *rate.Limiter       // of records that are rewritten for their form alone
+}
+
+func newLevels(cfg *config.Platform, op *config.Operator) levels {
+	s := &cfg.Settings
+	perSecond := s.State.WriteRPS * op.RewriteShare / float64(s.Count)
+	return levels{supported: rollout.Supported, state: rollout.Initial, keys: rollout.Initial.Keys(),
+		controllers: map[string]rollout.Registered{}, forms: map[record.Form]int{}, unreadable: map[string]bool{},
+		rewrites: rate.NewLimiter(rate.Limit(perSecond), 1)}
+}
+
+// leaderKey is the key of the lead.
+func (b *brain) leaderKey() string { return b.levels.keys.Leader() }
+
+// leaderCondition has a write fail if this controller does not lead any more.
+func (b *brain) leaderCondition() wire.Condition {
+	return wire.Condition{Key: b.leaderKey(), Version: b.lead.term}
+}
+
+// form is the form in which records are written.
+func (b *brain) form() record.Form { return formOf(b.levels.state.Writes()) }
+
+// formOf is the form of records at a feature level.
+func formOf(l rollout.Level) record.Form {
+	if l >= rollout.ChecksumLevel {
+		return record.Checked
+	}
+	return record.Plain
+}
+
+// outdated counts the records that are not stored in the form in which they are written.
+func (l *levels) outdated() int {
+	n := 0
+	for form, count := range l.forms {
+		if form != formOf(l.state.Writes()) {
+			n += count
+		}
+	}
+	return n
+}
+
+// above counts the records that are stored in a form above that in which they are written.
+func (l *levels) above() int {
+	n := 0
+	for form, count := range l.forms {
+		if form > formOf(l.state.Writes()) {
+			n += count
+		}
+	}
+	return n
+}
+
+// putLevel takes the stored state in. One that can't be read was written by a version
+// that knows more: this one must not serve.
+func (b *brain) putLevel(raw json.RawMessage, stamp uint64) error {
+	state, err := rollout.DecodeState(raw)
+	if err != nil {
+		state = b.levels.state
+	}
+	b.setLevel(state, stamp, err)
+	return nil
+}
+
+// setLevel follows a new state: rights are held under its keys, and by controllers alone
+// that read what it allows to be stored.
+func (b *brain) setLevel(state rollout.State, version uint64, unknown error) {
+	l := &b.levels
+	before := l.state
+	l.state, l.version = state, version
+	refusal := unknown
+	if refusal == nil && !state.Admits(l.supported) {
+		refusal = fmt.Errorf("feature level %d is in force, this version reads %s", state.Level, l.supported)
+	}
+	if refusal != nil && (l.refusal == nil || l.refusal.Error() != refusal.Error()) {
+		b.log.Error("this controller must not serve", "why", refusal)
+	}
+	if refusal == nil && l.refusal != nil {
+		b.log.Info("this controller may serve again", "level", state.Level)
+	}
+	l.refusal = refusal
+	if refusal != nil {
+		for key := range b.rights {
+			b.yield(key)
+		}
+	}
+	if keys := state.Keys(); keys != l.keys {
+		b.switchKeys(keys)
+	}
+	if before != state {
+		b.log.Info("feature level", "level", state.Level, "phase", state.Phase, "epoch", state.Epoch, "held", state.Held, "wish", state.Wish)
+	}
+}
+
+// switchKeys gives all rights up, whose keys nobody may hold any more, and has them taken
+// under other keys from now on.
+func (b *brain) switchKeys(keys rollout.Keys) {
+	for key := range b.rights {
+		b.lost(key, "rights have other keys now")
+	}
+	b.levels.keys = keys
+	b.rights = rightsUnder(keys, b.lentPart())
+	for _, p := range b.parts {
+		p.key = keys.Partition(p.n)
+	}
+	b.parts[b.lentPart()].key = keys.Leader()
+}
+
+// rightsUnder are the rights of a cluster under a set of keys, none of them held.
+func rightsUnder(keys rollout.Keys, partitions int) map[string]*right {
+	rights := map[string]*right{keys.Leader(): {key: keys.Leader()}}
+	for n := range partitions {
+		rights[keys.Partition(n)] = &right{key: keys.Partition(n)}
+	}
+	return rights
+}
+
+// putController takes in what a controller stores about itself.
+func (b *brain) putController(name string, raw json.RawMessage, stamp uint64) error {
+	c, err := rollout.DecodeController(raw)
+	if err != nil {
+		delete(b.levels.controllers, name) // unknown, as if it were not there
+		return err
+	}
+	b.levels.controllers[name] = rollout.Registered{Controller: c, Version: stamp}
+	return nil
+}
+
+// levelView is what the next step rests on.
+func (b *brain) levelView() rollout.View {
+	l := &b.levels
+	return rollout.View{Now: b.now, Members: b.cfg.Nodes(), Controllers: l.controllers, Leading: b.leads(), Current: b.cursor >= l.version,
+		Above: l.above(), Unreadable: len(l.unreadable), Partitions: b.lentPart(), TransactionChanges: b.cfg.Settings.State.TxnOps,
+		FinalizeAfter: b.op.FinalizeAfter}
+}
+
+// tendLevels takes the next step of an upgrade or of the way back, if there is one.
+func (b *brain) tendLevels() {
+	l := &b.levels
+	if l.writing || l.version == 0 && !b.op.FeatureLevels || l.refusal != nil || !b.fresh(b.op.RightTTL) {
+		return
+	}
+	view := b.levelView()
+	step, next := rollout.Decide(l.state, view)
+	if step == rollout.NoStep {
+		return
+	}
+	txn := rollout.Txn(l.state, step, next, view, rollout.Versions{State: l.version, Leader: b.lead.term})
+	l.writing = true
+	b.log.Info("feature level step", "step", step, "from", l.state.Level, "phase", l.state.Phase)
+	b.write(&store.Unit{Prompt: true, Contested: true, If: txn.If, Then: txn.Then}, func(err error) {
+		if err == nil {
+			l.writing = false
+			return
+		}
+		b.log.Info("feature level step failed", "step", step, "err", err)
+		b.readThen(func() { l.writing = false }) // perhaps it was applied all the same
+	})
+}
+
+// rewriteRecords has records of a partition stored in the form that is written now, a
+// few at a time: users' writes go before, and so does all that has a backlog.
+func (b *brain) rewriteRecords(p *part) {
+	if b.levels.outdated() == 0 || b.wr.Backlog() > rewriteBacklog {
+		return
+	}
+	form := b.form()
+	for _, r := range p.recs {
+		if r.form == form || r.writing || r.job.spec == nil || b.now.Before(r.barredTo) {
+			continue
+		}
+		if r.group(r.done, r.entries).Encode(form).Form() != form {
+			continue // the form can't hold it
+		}
+		if !b.levels.rewrites.AllowN(b.now, 1) {
+			return
+		}
+		b.metrics.count(cRewritten, 1)
+		update := b.planUpdate(p, r)
+		b.writeUpdate(p, r, &update)
+	}
+}
+
+// frameVersion is the version of frames for a sibling: the checked one if it is active,
+// and the process that the sibling is now has said that it reads it.
+func (b *brain) frameVersion(name string) mesh.Version {
+	c, ok := b.levels.controllers[name]
+	if !ok || b.levels.state.Active() < rollout.ChecksumLevel || c.High < rollout.ChecksumLevel {
+		return mesh.Plain
+	}
+	if s := b.siblings[name]; s.status != nil && s.status.Boot != c.Boot {
+		return mesh.Plain
+	}
+	return mesh.Checked
+}
+
+// tellSiblings sends this controller's status to all siblings.
+func (b *brain) tellSiblings() {
+	status := b.status()
+	frames := map[mesh.Version][]byte{}
+	for _, sibling := range b.cfg.Siblings {
+		version := b.frameVersion(sibling.Name)
+		if frames[version] == nil {
+			frames[version] = mesh.AppendStatus(nil, status, version)
+		}
+		b.send(sibling.Name, frames[version])
+	}
+}
+
+// refuses is the answer of a controller that must not serve; false: it may.
+func (b *brain) refuses() (api.Answer, bool) {
+	if b.levels.refusal == nil {
+		return api.Answer{}, false
+	}
+	return unavailable(b.levels.refusal.Error()), true
+}
+
+// register keeps this controller's range of levels stored while the process lives.
+func (b *brain) register() {
+	c := rollout.Controller{Node: b.cfg.Name, Boot: b.boot, Build: Build, Range: b.levels.supported}
+	r := &rollout.Registrar{Store: b.st, Controller: c, TTL: registrationTTLs * b.op.RightTTL, Log: b.log}
+	if err := r.Run(b.ctx); err != nil && !errors.Is(err, b.ctx.Err()) {
+		b.log.Error("registration ended", "err", err)
+	}
+}
+
+// Build names the version of the program in what controllers store about themselves.
+var Build = "unknown"
+
+const (
+	// registrationTTLs is how many times longer than a right a registration outlives its
+	// process: a slow controller should not look as if it had left.
+	registrationTTLs = 3
+	// rewriteBacklog is how much may wait to be stored while records are rewritten.
+	rewriteBacklog = 500 * time.Millisecond
+)
+
+// logLevels adds the levels to the regular counters.
+func (b *brain) logLevels(log *slog.Logger) {
+	l := &b.levels
+	if l.version == 0 {
+		return
+	}
+	log.Info("levels", "level", l.state.Level, "phase", l.state.Phase, "plain_records", l.forms[record.Plain],
+		"checked_records", l.forms[record.Checked], "unreadable_records", len(l.unreadable), "controllers", len(l.controllers))
+}
--- /dev/null
+++ b/internal/controller/levels_test.go
@@ -0,0 +1,331 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/config"
+	"eiderhitch/internal/record"
+	"eiderhitch/internal/rollout"
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/wire"
+)
+
+// All the way up and all the way back, with work that runs through it: a level becomes
+// active when all controllers read it and final by an operator's word; records are
+// rewritten; on the way back they are rewritten again before the level falls.
+func TestUpAndBack(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.submit(jobBody("wk-1", wire.Service, "blue", "urgent", 3, 2, 0))
+		c.submit(jobBody("wk-2", wire.Array, "blue", "normal", 60, 2, 20))
+		c.awaitLevel(1, rollout.Activated, 30*time.Second)
+		c.await("the service runs", 40*time.Second, func() bool { return c.world.Running("wk-1") == 3 })
+		c.wish(rollout.WishFinalize)
+		c.awaitLevel(2, rollout.Stable, 10*time.Second)
+		c.await("records are rewritten", time.Minute, func() bool { f := c.forms(); return f[record.Plain] == 0 && f[record.Checked] > 0 })
+		c.submit(jobBody("wk-3", wire.Gang, "blue", "normal", 4, 2, 5))
+		c.awaitDone("wk-3", 2*time.Minute)
+		c.wish(rollout.WishAbort)
+		c.awaitLevel(1, rollout.Stable, time.Minute)
+		if f := c.forms(); f[record.Checked] > 0 {
+			t.Errorf("records by form after the way back: %v", f)
+		}
+		if !c.level().Held {
+			t.Error("the level is not held after the way back")
+		}
+		c.awaitDone("wk-2", 5*time.Minute)
+		if n := c.world.Running("wk-1"); n != 3 {
+			t.Errorf("%d replicas of the service run", n)
+		}
+	})
+}
+
+// final brings a cluster to level 2, with work that runs.
+func (c *cluster) final() {
+	c.t.Helper()
+	c.submit(jobBody("wk-1", wire.Service, "blue", "urgent", 3, 2, 0))
+	c.submit(jobBody("wk-2", wire.Array, "blue", "normal", 12, 1, 300))
+	c.await("work runs", time.Minute, func() bool { return c.world.Running("wk-1") == 3 && c.world.Running("wk-2") == 12 })
+	c.awaitLevel(1, rollout.Activated, 30*time.Second)
+	c.wish(rollout.WishFinalize)
+	c.awaitLevel(2, rollout.Stable, 30*time.Second)
+	c.await("records are rewritten", time.Minute, func() bool { return c.forms()[record.Plain] == 0 })
+}
+
+// holdsRight tells whether a node is the holder of any right.
+func (c *cluster) holdsRight(i int) bool {
+	for key, raw := range c.world.State.Values(prefix) {
+		var h record.Holder
+		if isRight(key) && wire.Decode(raw, &h) == nil && h.Node == c.nodes[i].cfg.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// A version that knows levels and not the one in force serves nobody, holds no right, and
+// asks the state service no more than it has to. Back as the present one it serves.
+func TestControllerOfALowerLevelIsKeptOut(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.final()
+		c.replace(0, &baseOnly)
+		time.Sleep(5 * time.Second)
+		var calls atomic.Int64
+		c.nodes[0].net.Judge(func(r *http.Request) standin.Fate {
+			if isState(r) {
+				calls.Add(1)
+			}
+			return standin.Deliver
+		})
+		const watched = 20
+		for range watched {
+			time.Sleep(time.Second)
+			if c.nodes[0].brain.Ready() || c.holdsRight(0) {
+				t.Fatal("it is ready, or holds a right")
+			}
+			if status, _ := c.ask(0, standin.Poll, "wk-1", nil, nil); status != http.StatusServiceUnavailable {
+				t.Fatalf("a user is answered %d", status)
+			}
+		}
+		if n := calls.Load(); n > 4*watched {
+			t.Errorf("%d calls of the state service in %d s", n, watched)
+		}
+		if n := c.world.Running("wk-1"); n != 3 {
+			t.Errorf("%d replicas run", n)
+		}
+		c.replace(0, &rollout.Supported)
+		c.await("it serves again", 20*time.Second, func() bool { return c.nodes[0].brain.Ready() && c.holdsRight(0) })
+	})
+}
+
+// A version without levels that comes back after the switch holds no right, even alone; a
+// job that it accepts runs, and what it can't read it does not answer for.
+func TestControllerWithoutLevelsAfterTheSwitch(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.final()
+		c.replace(0, nil)
+		time.Sleep(5 * time.Second)
+		if status, _ := c.ask(0, standin.Poll, "wk-2", nil, nil); status != http.StatusServiceUnavailable {
+			t.Errorf("it answers %d for a job whose records it can't read", status)
+		}
+		body := jobBody("wk-3", wire.Array, "blue", "normal", 4, 1, 3)
+		raw, _ := json.Marshal(body)
+		j, _ := wire.ParseJob(raw)
+		c.world.Upload(j)
+		if status, _ := c.ask(0, standin.Submit, "wk-3", body, j); status != http.StatusCreated {
+			t.Errorf("a submission is answered %d", status)
+		}
+		c.await("the job that it accepted is done", time.Minute, func() bool { return c.world.Finished("wk-3") == 4 })
+		c.kill(1)
+		c.kill(2)
+		for range 25 {
+			time.Sleep(time.Second)
+			if c.holdsRight(0) {
+				t.Fatal("it holds a right")
+			}
+		}
+		c.start(1)
+		c.start(2)
+		c.replace(0, &rollout.Supported)
+		c.await("the service runs again", 40*time.Second, func() bool { return c.world.Running("wk-1") == 3 })
+		c.awaitDone("wk-3", 40*time.Second)
+	})
+}
+
+// spoil changes one letter of a stored value, and returns what puts it right again.
+func (c *cluster) spoil(key string) func() {
+	c.t.Helper()
+	good := c.world.State.Values(key)[key]
+	bad := bytes.Clone(good)
+	at := len(bad) / 2
+	bad[at] = map[bool]byte{true: 'B', false: 'A'}[bad[at] == 'A']
+	if c.foreign == nil {
+		c.foreign = map[string]bool{}
+	}
+	c.foreign[key] = true
+	put := func(raw []byte) {
+		if _, err := c.storeClient().Txn(c.ctx, &wire.Txn{Then: []wire.Change{{Put: key, Value: raw}}}); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	put(bad)
+	return func() { put(good) }
+}
+
+// A record that is damaged is seen to be, also by controllers that never saw it whole:
+// its tasks go on running, are started nowhere else, and count for their team's limit; its
+// users are told to come back. Once it is put right all goes on.
+func TestDamagedRecordIsLeftAlone(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.final()
+		starts := c.world.Accepted("wk-2")
+		var undo []func()
+		for key := range c.world.State.Values(preGroup + "wk-2/") {
+			undo = append(undo, c.spoil(key))
+		}
+		for i := range c.nodes {
+			c.kill(i)
+			c.start(i)
+		}
+		time.Sleep(30 * time.Second)
+		if n := c.world.Running("wk-2"); n != 12 || c.world.Accepted("wk-2") != starts {
+			t.Errorf("%d of 12 tasks run, %d were started after the damage", n, c.world.Accepted("wk-2")-starts)
+		}
+		for i := range c.nodes {
+			if status, _ := c.ask(i, standin.Poll, "wk-2", nil, nil); status != http.StatusServiceUnavailable {
+				t.Errorf("node %d answers %d", i, status)
+			}
+		}
+		used := 0.0
+		c.nodes[0].brain.ask(c.ctx, laneState, func() {
+			b := c.nodes[0].brain
+			used = float64(b.limits()[b.team("blue")].Used.CPU) / 1000
+		})
+		if used < 12+6 {
+			t.Errorf("%v CPUs count for the team's limit", used)
+		}
+		for _, f := range undo {
+			f()
+		}
+		c.await("it is known again", 20*time.Second, func() bool { return c.state("wk-2") == wire.Running })
+		c.abort("wk-2")
+		c.await("it is gone", 40*time.Second, func() bool { return c.world.Running("wk-2") == 0 })
+	})
+}
+
+// The level falls only when no record of it is left, whoever wrote it and whatever may
+// keep it from being rewritten; what is left is said.
+func TestLevelFallsOnlyWhenNothingIsLeft(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.final()
+		// Of a job that is not known: nobody rewrites it.
+		key := groupKey("wk-99", 0)
+		left := (&record.Group{Part: 1, Tasks: []record.Task{{Num: 1}}}).Encode(record.Checked).At(key)
+		if _, err := c.storeClient().Txn(c.ctx, &wire.Txn{Then: []wire.Change{{Put: key, Value: left}}}); err != nil {
+			t.Fatal(err)
+		}
+		c.wish(rollout.WishAbort)
+		c.awaitLevel(2, rollout.Reverting, 10*time.Second)
+		time.Sleep(20 * time.Second)
+		if s := c.level(); s.Phase != rollout.Reverting || s.Epoch != 1 {
+			t.Errorf("%+v while a record is left", s)
+		}
+		status, err := c.upgradeOperator().Status(c.ctx)
+		if err != nil || len(status.Blockers) != 1 || status.Blockers[0].Kind != rollout.BlockRecords || status.Records["form 2"] != 1 {
+			t.Errorf("status %+v, %v", status, err)
+		}
+		if _, err := c.storeClient().Txn(c.ctx, &wire.Txn{Then: []wire.Change{{Delete: key}}}); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitLevel(1, rollout.Stable, 20*time.Second)
+	})
+}
+
+// A record of the level that is written after the count, by an owner that did not know
+// better, is found before the keys of the base level are opened.
+func TestRecordWrittenAfterTheCountIsFound(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.final()
+		key := groupKey("wk-99", 0)
+		left := (&record.Group{Part: 1, Tasks: []record.Task{{Num: 1}}}).Encode(record.Checked).At(key)
+		// It is stored together with the change that closes the keys.
+		c.world.State.Before(func(t *wire.Txn) {
+			for _, change := range t.Then {
+				if s, err := rollout.DecodeState(change.Value); change.Put == rollout.StateKey && err == nil && s.Phase == rollout.Closed && s.Epoch == 1 {
+					t.Then = append(t.Then, wire.Change{Put: key, Value: left})
+				}
+			}
+		})
+		c.wish(rollout.WishAbort)
+		c.await("the way back goes on in a new epoch", 30*time.Second, func() bool { s := c.level(); return s.Phase == rollout.Reverting && s.Epoch == 2 })
+		if _, err := c.storeClient().Txn(c.ctx, &wire.Txn{Then: []wire.Change{{Delete: key}}}); err != nil {
+			t.Fatal(err)
+		}
+		c.awaitLevel(1, rollout.Stable, 20*time.Second)
+		c.await("the service runs", 20*time.Second, func() bool { return c.world.Running("wk-1") == 3 })
+	})
+}
+
+// An active level becomes final by itself after the time that the settings give, counted
+// anew from each restart.
+func TestFinalByItself(t *testing.T) {
+	inWorldWith(t, func(n *node) {
+		n.op = config.DefaultOperator()
+		n.op.FeatureLevels, n.op.FinalizeAfter = true, 30*time.Second
+	}, func(c *cluster) {
+		c.upgrades = true
+		c.awaitLevel(1, rollout.Activated, 10*time.Second)
+		time.Sleep(20 * time.Second)
+		c.kill(1)
+		c.start(1)
+		time.Sleep(20 * time.Second)
+		if s := c.level(); s.Phase != rollout.Activated {
+			t.Errorf("%+v 20 s after a restart", s)
+		}
+		c.awaitLevel(2, rollout.Stable, 20*time.Second)
+	})
+}
+
+// While a controller is missing, or does not say what it reads, an operator is refused,
+// with its name, and nothing is raised.
+func TestMissingControllerKeepsTheLevel(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.awaitLevel(1, rollout.Activated, 10*time.Second)
+		c.kill(2)
+		c.await("its registration ends", 30*time.Second, func() bool { return len(c.world.State.Keys(rollout.ControllerKey("n2"))) == 0 })
+		before := c.level()
+		_, err := c.upgradeOperator().Request(c.ctx, rollout.WishFinalize)
+		var refused *rollout.RefusedError
+		if !errors.As(err, &refused) || !strings.Contains(err.Error(), "n2") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("refused with %v", err)
+		}
+		if c.level() != before {
+			t.Errorf("%+v was changed to %+v", before, c.level())
+		}
+		c.start(2)
+		c.await("it is registered", 20*time.Second, func() bool { return len(c.world.State.Keys(rollout.ControllerKey("n2"))) == 1 })
+		c.wish(rollout.WishFinalize)
+		c.awaitLevel(2, rollout.Stable, 10*time.Second)
+	})
+}
+
+// A controller whose lease ends while it lives is registered again.
+func TestLeaseEndsWhileTheControllerLives(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.awaitLevel(1, rollout.Activated, 10*time.Second)
+		c.nodes[1].net.Judge(func(r *http.Request) standin.Fate {
+			if isState(r) {
+				return standin.Refuse
+			}
+			return standin.Deliver
+		})
+		c.await("its registration ends", 30*time.Second, func() bool { return len(c.world.State.Keys(rollout.ControllerKey("n1"))) == 0 })
+		c.nodes[1].net.Judge(nil)
+		c.await("it is registered again", 20*time.Second, func() bool { return len(c.world.State.Keys(rollout.ControllerKey("n1"))) == 1 })
+	})
+}
+
+// A state that this version can't make sense of was written by one that knows more.
+func TestUnknownStateKeepsEverybodyOut(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		c.awaitLevel(1, rollout.Activated, 10*time.Second)
+		put := func(raw string) {
+			if _, err := c.storeClient().Txn(c.ctx, &wire.Txn{Then: []wire.Change{{Put: rollout.StateKey, Value: json.RawMessage(raw)}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.foreign = map[string]bool{rollout.StateKey: true}
+		put(`{"level":1,"phase":"dissolved"}`)
+		c.await("nobody serves", 10*time.Second, func() bool {
+			return !c.nodes[0].brain.Ready() && !c.nodes[1].brain.Ready() && !c.nodes[2].brain.Ready() && !c.holdsRight(0)
+		})
+		put(`{"level":1,"phase":"stable"}`)
+		c.await("they serve again", 20*time.Second, func() bool { return c.nodes[0].brain.Ready() && c.holdsRight(0) })
+	})
+}
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -1,13 +1,14 @@
 package controller
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"eiderhitch/internal/record"
+	"eiderhitch/internal/rollout"
 	"eiderhitch/internal/standin"
 	"eiderhitch/internal/wire"
 
@@ -37,12 +38,16 @@
 		}
 		before := r.may()
 		tasks, may, done, there := 0, 0, 0, 0
+		if rapid.Bool().Draw(t, "checked") {
+			b.levels.state = rollout.State{Level: rollout.ChecksumLevel, Phase: rollout.Stable, Epoch: 1}
+		}
 		for _, piece := range b.fit(r, r.done, r.entries) {
-			if len(piece) > b.maxValue() {
-				t.Fatalf("%d bytes of %d", len(piece), b.maxValue())
+			raw := piece.At(groupKey("wk-1", 0))
+			if len(raw) > b.maxValue() || piece.Form() != b.form() {
+				t.Fatalf("%d bytes of %d, form %d", len(raw), b.maxValue(), piece.Form())
 			}
-			var v groupValue
-			if err := json.Unmarshal(piece, &v); err != nil {
+			v, _, err := record.DecodeGroup(groupKey("wk-1", 0), raw)
+			if err != nil {
 				t.Fatal(err)
 			}
 			x := rec{cap: v.Cap}
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -228,6 +228,9 @@
 	if !b.loaded {
 		return api.Answer{Status: http.StatusServiceUnavailable, Reason: "starting"}
 	}
+	if refusal, refused := b.refuses(); refused {
+		return refusal
+	}
 	p := b.parts[b.machine(r.Machine).home]
 	if p.term == 0 {
 		h, ok := b.holders[p.key]
@@ -386,7 +389,7 @@
 		return nil, nil, nil
 	}
 	j := b.jobs[id]
-	if j == nil || j.loc == nil {
+	if j == nil {
 		return nil, nil, nil
 	}
 	r := j.loc[num]
@@ -569,7 +572,10 @@
 	stop := stopCheck{b: b}
 	for i := range m.tasks {
 		t := &m.tasks[i]
-		_, r, e := b.lookup(t.Task)
+		j, r, e := b.lookup(t.Task)
+		if e == nil && j != nil && j.bad() && j.fate == live {
+			continue // it may well be bound there, in the record that can't be decoded
+		}
 		if e == nil || e.m != m || e.attempt != t.Attempt || e.session != m.session {
 			if t.State != wire.Exited {
 				zero := 0.0
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -325,7 +325,11 @@
 			}
 		}()
 	default:
-		s.t.Fatalf("unknown fault %q", f.what)
+		undo, ok := s.beginUpgradeFault(f)
+		if !ok {
+			s.t.Fatalf("unknown fault %q", f.what)
+		}
+		return undo
 	}
 	return nothing
 }
@@ -502,62 +506,65 @@
 // play has a cluster at work meet faults, ends them, and waits until all that was
 // accepted is done, runs or is gone. Whatever happens is checked from outside.
 func play(t *testing.T, seed uint64, jobs int, faults []fault) {
-	inWorld(t, func(c *cluster) {
-		s := &scene{cluster: c, seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), specs: map[string]map[string]any{}, lasts: map[string]bool{}, called: map[string]bool{}, kept: map[string][]byte{}}
-		for range c.nodes {
-			s.judges = append(s.judges, map[int]func(*http.Request) standin.Fate{})
-		}
-		for i, n := range c.nodes {
-			n.net.SetLate(2*time.Second, 10*time.Second)
-			n.net.Judge(func(r *http.Request) standin.Fate {
-				s.mu.Lock()
-				var fs []func(*http.Request) standin.Fate
-				for _, id := range slices.Sorted(maps.Keys(s.judges[i])) {
-					fs = append(fs, s.judges[i][id])
-				}
-				s.mu.Unlock()
-				for _, f := range fs {
-					if fate := f(r); fate != standin.Deliver {
-						return fate
-					}
+	inWorld(t, func(c *cluster) { c.play(seed, jobs, faults) })
+}
+
+// play is play in a cluster that has been set up.
+func (c *cluster) play(seed uint64, jobs int, faults []fault) {
+	s := &scene{cluster: c, seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), specs: map[string]map[string]any{}, lasts: map[string]bool{}, called: map[string]bool{}, kept: map[string][]byte{}}
+	for range c.nodes {
+		s.judges = append(s.judges, map[int]func(*http.Request) standin.Fate{})
+	}
+	for i, n := range c.nodes {
+		n.net.SetLate(2*time.Second, 10*time.Second)
+		n.net.Judge(func(r *http.Request) standin.Fate {
+			s.mu.Lock()
+			var fs []func(*http.Request) standin.Fate
+			for _, id := range slices.Sorted(maps.Keys(s.judges[i])) {
+				fs = append(fs, s.judges[i][id])
+			}
+			s.mu.Unlock()
+			for _, f := range fs {
+				if fate := f(r); fate != standin.Deliver {
+					return fate
 				}
-				return standin.Deliver
-			})
-		}
-		if slices.ContainsFunc(faults, func(f fault) bool { return f.what == "limits fall" }) {
-			c.announce(comingValue, comingOps)
-		}
-		s.scarce = seed%3 > 0
-		c.world.Cloud.SetCapacity([]int{20, 8, 5}[seed%3])
-		for range jobs {
-			s.newJob()
-			time.Sleep(time.Millisecond)
-		}
-		c.await("work runs", time.Minute, func() bool { return c.world.Starts() > jobs })
-		type ending struct {
-			at float64
-			f  func()
-		}
-		var ends []ending
-		begun := time.Now()
-		wait := func(at float64) { time.Sleep(time.Until(begun.Add(time.Duration(at * float64(time.Second))))) }
-		endUntil := func(at float64) {
-			slices.SortStableFunc(ends, func(x, y ending) int { return int(1000 * (x.at - y.at)) })
-			for len(ends) > 0 && ends[0].at <= at {
-				wait(ends[0].at)
-				ends[0].f()
-				ends = ends[1:]
 			}
+			return standin.Deliver
+		})
+	}
+	if slices.ContainsFunc(faults, func(f fault) bool { return f.what == "limits fall" }) {
+		c.announce(comingValue, comingOps)
+	}
+	s.scarce = seed%3 > 0
+	c.world.Cloud.SetCapacity([]int{20, 8, 5}[seed%3])
+	for range jobs {
+		s.newJob()
+		time.Sleep(time.Millisecond)
+	}
+	c.await("work runs", time.Minute, func() bool { return c.world.Starts() > jobs })
+	type ending struct {
+		at float64
+		f  func()
+	}
+	var ends []ending
+	begun := time.Now()
+	wait := func(at float64) { time.Sleep(time.Until(begun.Add(time.Duration(at * float64(time.Second))))) }
+	endUntil := func(at float64) {
+		slices.SortStableFunc(ends, func(x, y ending) int { return int(1000 * (x.at - y.at)) })
+		for len(ends) > 0 && ends[0].at <= at {
+			wait(ends[0].at)
+			ends[0].f()
+			ends = ends[1:]
 		}
-		for _, f := range faults {
-			endUntil(f.at)
-			wait(f.at)
-			ends = append(ends, ending{f.at + f.duration, s.begin(f)})
-		}
-		endUntil(1e9)
-		c.world.SetQuiet()
-		s.settle()
-	})
+	}
+	for _, f := range faults {
+		endUntil(f.at)
+		wait(f.at)
+		ends = append(ends, ending{f.at + f.duration, s.begin(f)})
+	}
+	endUntil(1e9)
+	c.world.SetQuiet()
+	s.settle()
 }
 
 // announce has the controllers start anew with settings that name lower limits to come.
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -23,14 +23,16 @@
 	cDone
 	cLost
 	cEvicted
-	cDealt  // records dealt
-	cMoved  // records moved to another part
-	cCapped // records held back, or let go, for a team's limit
-	cStored // records rewritten by their owner
+	cDealt       // records dealt
+	cMoved       // records moved to another part
+	cCapped      // records held back, or let go, for a team's limit
+	cStored      // records rewritten by their owner
+	cRewritten   // of these, for their form alone
+	cUndecodable // stored values that could not be decoded
 	counters
 )
 
-var counterNames = [counters]string{"accepted", "refused", "unavailable", "polls", "reports", "redirected", "bound", "done", "lost", "evicting", "dealt", "moved", "capped", "stored"}
+var counterNames = [counters]string{"accepted", "refused", "unavailable", "polls", "reports", "redirected", "bound", "done", "lost", "evicting", "dealt", "moved", "capped", "stored", "rewritten", "undecodable"}
 
 type latency int
 
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -52,12 +52,12 @@
 	if spec.Gang {
 		return b.relocate(j, j.firstRec().part, best)
 	}
-	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{b.leaderCondition(), {Key: jobKey(j.id), Version: j.stamp}}}
 	for _, o := range j.recs {
 		moved := *o
 		moved.zone = best
 		u.If = append(u.If, wire.Condition{Key: o.key, Version: o.stamp})
-		u.Then = append(u.Then, wire.Change{Put: o.key, Value: moved.value(o.done, o.entries)})
+		u.Then = append(u.Then, wire.Change{Put: o.key, Value: b.content(&moved, o.done, o.entries).At(o.key)})
 	}
 	b.lead.writes++
 	epoch := b.lead.epoch
@@ -120,15 +120,15 @@
 	if !taken {
 		core.Take(hosts, in, r.job.need, len(move))
 	}
-	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
+	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{b.leaderCondition(), {Key: jobKey(r.job.id), Version: r.job.stamp}, {Key: r.key, Version: r.stamp}}}
 	left, moved := r.split(stay, move)
 	moved.part = best
 	if len(stay) == 0 {
-		u.Then = []wire.Change{{Put: r.key, Value: moved.value(r.done, move)}}
+		u.Then = []wire.Change{{Put: r.key, Value: b.content(&moved, r.done, move).At(r.key)}}
 	} else {
 		key := groupKey(r.job.id, r.job.newRec())
 		u.If = append(u.If, wire.Condition{Key: key})
-		u.Then = []wire.Change{{Put: r.key, Value: left.value(r.done, stay)}, {Put: key, Value: moved.value(0, move)}}
+		u.Then = []wire.Change{{Put: r.key, Value: b.content(&left, r.done, stay).At(r.key)}, {Put: key, Value: b.content(&moved, 0, move).At(key)}}
 	}
 	b.metrics.count(cMoved, 1)
 	b.log.Debug("tasks move to another part", "job", r.job.id, "tasks", len(move), "part", best)
@@ -170,7 +170,7 @@
 // as one transaction holds. The others follow (gatherGangs); the gang is reserved when
 // all are together. False if it can't be now.
 func (b *brain) relocate(j *job, part int, zone string) bool {
-	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}, {Key: jobKey(j.id), Version: j.stamp}}}
+	u := &store.Unit{Early: true, Contested: true, If: []wire.Condition{b.leaderCondition(), {Key: jobKey(j.id), Version: j.stamp}}}
 	size := 0
 	for _, r := range j.recsInOrder() {
 		if r.part == part && r.zone == zone {
@@ -181,7 +181,7 @@
 		}
 		moved := *r
 		moved.part, moved.zone = part, zone
-		value := moved.value(r.done, r.entries)
+		value := b.content(&moved, r.done, r.entries).At(r.key)
 		size += len(value) + recordOverhead
 		if n := len(u.Then); n > 0 && (n == b.cfg.Settings.State.TxnOps || size > store.MaxTxnBytes) {
 			break
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -63,6 +63,7 @@
 			b.store(p, r)
 		}
 	}
+	b.rewriteRecords(p)
 	b.tellGangs(p)
 	b.acknowledge(p)
 	if p.raise {
--- a/internal/controller/pool.go
+++ b/internal/controller/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/wire"
 )
 
@@ -216,7 +217,7 @@
 	}
 	chosen = chosen[:min(len(chosen), b.cfg.Settings.State.TxnOps/2)]
 	b.log.Debug("machines are kept for gangs", "machines", len(chosen))
-	b.borrowMachines(chosen, nil, lendValue{Job: poolJob})
+	b.borrowMachines(chosen, nil, record.Loan{Job: poolJob})
 }
 
 // takeRoom takes free room for the tasks of a class's next gangs from hosts, and returns for
--- a/internal/controller/provision.go
+++ b/internal/controller/provision.go
@@ -54,6 +54,11 @@
 			b.rent(o, min(n, 50))
 		}
 	}
+	// What a record that can't be decoded binds may run on a machine that seems idle: it
+	// was returned, and the tasks were lost.
+	if len(b.levels.unreadable) > 0 {
+		return
+	}
 	b.closeSpare(hosts, spare, level, short)
 	b.returnIdle(hosts)
 }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -5,31 +5,27 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"hash/fnv"
 	"strconv"
 	"strings"
 	"time"
 
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
 
 // Keys of the stored records.
 const (
-	prefix    = "e/"
-	keyTypes  = "e/types"
-	keyLeader = "e/leader"
-	preNode   = "e/node/"
-	prePart   = "e/part/"
-	preJob    = "e/job/"
-	preGroup  = "e/group/"
-	preGone   = "e/gone/"
-	preLend   = "e/lend/"
+	prefix   = "e/"
+	keyTypes = "e/types"
+	preJob   = "e/job/"
+	preGroup = "e/group/"
+	preGone  = "e/gone/"
+	preLend  = "e/lend/"
 )
 
-func partKey(n int) string               { return prePart + strconv.Itoa(n) }
 func jobKey(id string) string            { return preJob + id }
 func groupKey(id string, k int) string   { return preGroup + id + "/" + strconv.Itoa(k) }
 func taskName(id string, n int32) string { return id + "/" + strconv.Itoa(int(n)) }
@@ -52,13 +48,6 @@
 	return int(v % uint32(parts))
 }
 
-// holder is the value of a leased key: the process that holds a right. The
-// boot tells a restarted process from its former self.
-type holder struct {
-	Node string `json:"n"`
-	Boot string `json:"b"`
-}
-
 // Fates of a job.
 const (
 	live = iota
@@ -68,38 +57,6 @@
 
 var fateNames = map[int]string{live: "live", cancelled: "cancelled", done: "done"}
 
-// jobValue is the stored form of a job. A final job keeps only its fate.
-type jobValue struct {
-	Fate int       `json:"f"`
-	At   int64     `json:"at,omitempty"` // time of day of its acceptance, ms
-	Job  *wire.Job `json:"j,omitempty"`
-}
-
-// groupValue is the stored form of a placement record: some tasks of a job that
-// one part is in charge of. A task that is done leaves the record.
-type groupValue struct {
-	Part int    `json:"p"`
-	Zone string `json:"z,omitempty"`
-	Own  bool   `json:"o,omitempty"`
-	Done int    `json:"d,omitempty"`
-	// Cap is one more than the number of tasks that may be bound at a time;
-	// 0: all. The leader lowers it to make room within the team's limit.
-	Cap   int          `json:"c,omitempty"`
-	Tasks []entryValue `json:"t"`
-}
-
-// entryValue is one task of a record: Allocated if it names a machine, else Pending.
-type entryValue struct {
-	Num     int32  `json:"i"`
-	Attempt uint64 `json:"a,omitempty"`
-	Machine string `json:"m,omitempty"`
-	Session uint64 `json:"s,omitempty"`
-	// Addr is where the machine takes direct commands. Who takes its part over with
-	// no one left to ask can so tell a machine that is dead from one that reports
-	// late, without waiting for the longest pause that a report may have.
-	Addr string `json:"h,omitempty"`
-}
-
 type job struct {
 	id    string
 	stamp uint64
@@ -111,14 +68,15 @@
 	recs  []*rec
 	loc   map[int32]*rec // of each task that is dealt and not done
 
-	atHand   bool   // among brain.atHand
-	bad      bool   // a record of it can't be decoded
-	sig      string // what jobs alike in need and permissions share
-	nextRec  int
-	dealtAt  time.Time
-	ending   bool            // a write of the fate is in flight
-	failedOn map[string]bool // machines on which tasks of it failed
-	retryAt  time.Time       // nothing of it is placed before then
+	atHand bool // among brain.atHand
+	// unreadable are the keys of its records that can't be decoded.
+	unreadable map[string]bool
+	sig        string // what jobs alike in need and permissions share
+	nextRec    int
+	dealtAt    time.Time
+	ending     bool            // a write of the fate is in flight
+	failedOn   map[string]bool // machines on which tasks of it failed
+	retryAt    time.Time       // nothing of it is placed before then
 
 	// Of a gang: the last attempt that was seen to run, that can't be completed, that
 	// was told to stop; and whether a task of it, and so all, got done.
@@ -198,7 +156,7 @@
 	zone     string
 	own      bool
 	done     int
-	cap      int // see groupValue
+	cap      int // see record.Group
 	entries  []entry
 	placed   int // entries that name a machine
 	listed   int // one more than its place among its part's records; 0: in none
@@ -210,6 +168,7 @@
 	since    time.Time   // when it came to its part
 	cappedAt time.Time   // when the leader last changed its cap
 	size     int         // of its stored form
+	form     record.Form // in which it is stored
 	barredTo time.Time   // not written before then: it was refused as invalid
 }
 
@@ -296,32 +255,32 @@
 	return core.Claim{Level: r.job.spec.Priority, Own: r.own, Team: r.job.team}
 }
 
-// value is the record with other entries.
-func (r *rec) value(done int, entries []entry) json.RawMessage {
-	v := groupValue{Part: r.part, Zone: r.zone, Own: r.own, Done: done, Cap: r.cap, Tasks: make([]entryValue, 0, len(entries))}
+// group is the record's stored content with other entries.
+func (r *rec) group(done int, entries []entry) *record.Group {
+	v := &record.Group{Part: r.part, Zone: r.zone, Own: r.own, Done: done, Cap: r.cap, Tasks: make([]record.Task, 0, len(entries))}
 	for _, e := range entries {
-		x := entryValue{Num: e.num, Attempt: e.attempt}
+		x := record.Task{Num: e.num, Attempt: e.attempt}
 		if e.m != nil {
 			x.Machine, x.Session, x.Addr = e.m.name, e.session, e.m.addr
 		}
 		v.Tasks = append(v.Tasks, x)
 	}
-	return mustJSON(v)
+	return v
 }
 
-func mustJSON(v any) json.RawMessage {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("encode %T: %v", v, err)) // plain data always encodes
-	}
-	return raw
+// content is a record with other entries, in the form that records are written in now.
+func (b *brain) content(r *rec, done int, entries []entry) record.Content {
+	return r.group(done, entries).Encode(b.form())
 }
 
+// mostEntries is how many tasks a record has at the most.
+const mostEntries = 128
+
 // maxEntries keeps a record within the state service's limit of a value, by the usual
 // form of an entry. One that gets larger all the same is split (brain.fit).
 func maxEntries(valueKB float64) int {
 	const perEntry = 72
-	return max(1, min(128, int(valueKB*1024-128)/perEntry))
+	return max(1, min(mostEntries, int(valueKB*1024-128)/perEntry))
 }
 
 // maxValue is how large a stored value may be.
@@ -330,10 +289,10 @@
 // fit is a record's stored form, in as many pieces as the limit of a value asks for: one
 // that was written while more was allowed, or whose names are long, is split when it is
 // written again. The first piece is the record itself.
-func (b *brain) fit(r *rec, done int, entries []entry) []json.RawMessage {
-	v := r.value(done, entries)
-	if len(v) <= b.maxValue() || len(entries) < 2 {
-		return []json.RawMessage{v}
+func (b *brain) fit(r *rec, done int, entries []entry) []record.Content {
+	v := b.content(r, done, entries)
+	if v.Size() <= b.maxValue() || len(entries) < 2 {
+		return []record.Content{v}
 	}
 	half := len(entries) / 2
 	stay, leave := entries[:half], entries[half:]
@@ -362,13 +321,13 @@
 // for the team's limit until they are gone, also for a controller that starts later. Of
 // one too large for that, what placing it would need is left out.
 func (b *brain) cancelledValue(j *job) json.RawMessage {
-	v := jobValue{Fate: cancelled, At: j.at.UnixMilli(), Job: j.spec}
-	out := mustJSON(v)
+	v := record.Job{Fate: cancelled, At: j.at.UnixMilli(), Job: j.spec}
+	out := record.JSON(v)
 	if len(out) > b.maxValue() {
 		short := *j.spec
 		short.Types, short.Image, short.Class = nil, "", ""
 		v.Job = &short
-		out = mustJSON(v)
+		out = record.JSON(v)
 	}
 	return out
 }
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -9,6 +9,7 @@
 	"eiderhitch/internal/cloud"
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -124,7 +125,7 @@
 		names := batches[right].names
 		delete(batches, right)
 		key := preGone + names[0]
-		b.write(&store.Unit{Early: true, If: []wire.Condition{right, {Key: key}}, Then: []wire.Change{{Put: key, Value: mustJSON(names)}}},
+		b.write(&store.Unit{Early: true, If: []wire.Condition{right, {Key: key}}, Then: []wire.Change{{Put: key, Value: record.JSON(names)}}},
 			func(error) { b.stay(names) })
 	}
 	most := int(b.cfg.Settings.State.ValueKB*1024) / 2
@@ -138,7 +139,7 @@
 			delete(b.leaving, n)
 			continue
 		}
-		right := wire.Condition{Key: keyLeader, Version: b.lead.term}
+		right := b.leaderCondition()
 		if p := b.parts[m.home]; !b.lead.active && p.term != 0 {
 			right = wire.Condition{Key: p.key, Version: p.term}
 		}
@@ -168,7 +169,7 @@
 	if b.lead.active {
 		return
 	}
-	if s := b.siblings[b.holders[keyLeader].Node]; s != nil && b.now.Sub(s.at) < 4*time.Second {
+	if s := b.siblings[b.holders[b.leaderKey()].Node]; s != nil && b.now.Sub(s.at) < 4*time.Second {
 		return
 	}
 	var names []string
@@ -234,7 +235,7 @@
 	if b.lead.clearing || b.wr.Backlog() > time.Second {
 		return
 	}
-	u := &store.Unit{If: []wire.Condition{{Key: keyLeader, Version: b.lead.term}}}
+	u := &store.Unit{If: []wire.Condition{b.leaderCondition()}}
 	keep := 2*time.Minute + 4*config.Seconds(b.cfg.Settings.Cloud.ListLagS)
 	for key, g := range b.goneKeys {
 		if len(u.Then) == b.cfg.Settings.State.TxnOps/4 {
@@ -270,7 +271,7 @@
 		b.putTypes(list)
 		if !b.typesKey {
 			b.typesKey = true
-			b.write(&store.Unit{If: []wire.Condition{{Key: keyTypes}}, Then: []wire.Change{{Put: keyTypes, Value: mustJSON(list)}}}, func(error) {})
+			b.write(&store.Unit{If: []wire.Condition{{Key: keyTypes}}, Then: []wire.Change{{Put: keyTypes, Value: record.JSON(list)}}}, func(error) {})
 		}
 	})
 }
--- a/internal/controller/rights.go
+++ b/internal/controller/rights.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"errors"
 	"slices"
 	"time"
@@ -8,6 +9,7 @@
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/core"
 	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -27,7 +29,9 @@
 }
 
 // able tells whether this controller should hold rights.
-func (b *brain) able() bool { return b.fresh(b.op.RightTTL) && !b.now.Before(b.yieldUntil) }
+func (b *brain) able() bool {
+	return b.fresh(b.op.RightTTL) && !b.now.Before(b.yieldUntil) && b.levels.refusal == nil
+}
 
 // tendRights takes vacant rights and hands parts back to their preferred node.
 func (b *brain) tendRights() {
@@ -55,7 +59,7 @@
 		}
 	}
 	wait := 100 * time.Millisecond * time.Duration(slices.Index(b.cfg.Nodes(), b.cfg.Name))
-	b.tryTake(keyLeader, wait)
+	b.tryTake(b.leaderKey(), wait)
 }
 
 // settled tells whether every machine of a part on which something is bound has been
@@ -96,13 +100,18 @@
 	go b.take(r, key, expect)
 }
 
+// holderValue is what this process stores at the key of a right that it holds.
+func (b *brain) holderValue() json.RawMessage {
+	return record.JSON(record.Holder{Node: b.cfg.Name, Boot: b.boot})
+}
+
 func (b *brain) take(r *right, key string, expect uint64) {
 	lease, err := b.st.Lease(b.ctx, b.op.RightTTL)
 	var ans *wire.TxnAnswer
 	if err == nil {
 		ans, err = b.st.Txn(b.ctx, &wire.Txn{
 			If:   []wire.Condition{{Key: key, Version: expect}},
-			Then: []wire.Change{{Put: key, Value: mustJSON(holder{b.cfg.Name, b.boot}), Lease: lease}},
+			Then: []wire.Change{{Put: key, Value: b.holderValue(), Lease: lease}},
 		})
 		if err != nil {
 			// Perhaps it was applied: ending the lease takes the key along, and
@@ -112,12 +121,16 @@
 	}
 	b.post(laneState, func() {
 		r.busy = false
+		if b.rights[key] != r { // rights have other keys meanwhile
+			go func() { _ = b.st.End(b.ctx, lease) }()
+			return
+		}
 		if err != nil {
 			r.freeAt = b.now.Add(200 * time.Millisecond)
 			return
 		}
 		r.stamp, r.lease, r.freeAt = ans.Revision, lease, time.Time{}
-		b.put(key, mustJSON(holder{b.cfg.Name, b.boot}), ans.Revision)
+		b.put(key, b.holderValue(), ans.Revision)
 		if b.vers[key] != ans.Revision { // lost again before the answer came
 			r.stamp, r.lease, r.freeAt = 0, 0, b.now
 			return
@@ -169,7 +182,7 @@
 }
 
 // rightSeen is told what the replica shows of a leased key.
-func (b *brain) rightSeen(key string, h holder, stamp uint64) {
+func (b *brain) rightSeen(key string, h record.Holder, stamp uint64) {
 	if r := b.rights[key]; r != nil && r.stamp != 0 && stamp > r.stamp && h.Boot != b.boot {
 		b.lost(key, "taken by "+h.Node)
 	}
@@ -188,7 +201,7 @@
 
 func (b *brain) gained(key string, stamp uint64) {
 	b.log.Info("right taken", "key", key, "term", stamp)
-	if key == keyLeader {
+	if key == b.leaderKey() {
 		b.leaderGained(stamp)
 	}
 	for _, p := range b.parts {
@@ -205,7 +218,7 @@
 	}
 	b.log.Info("right lost", "key", key, "why", why)
 	r.stamp, r.lease = 0, 0
-	if key == keyLeader {
+	if key == b.leaderKey() {
 		b.lead = leader{}
 	}
 	for _, p := range b.parts {
@@ -302,7 +315,7 @@
 	stamp := r.stamp
 	b.write(&store.Unit{
 		If:   []wire.Condition{{Key: key, Version: stamp}},
-		Then: []wire.Change{{Put: key, Value: mustJSON(holder{b.cfg.Name, b.boot}), Lease: r.lease}},
+		Then: []wire.Change{{Put: key, Value: b.holderValue(), Lease: r.lease}},
 	}, func(err error) {
 		r.busy = false
 		if r.stamp != stamp {
@@ -333,7 +346,7 @@
 	}
 	r.stamp, p.term = stamp, stamp
 	p.voidWrites()
-	if p.key == keyLeader {
+	if p.key == b.leaderKey() {
 		b.lead.term = stamp
 	}
 	b.log.Info("term raised", "part", p.n, "term", stamp)
@@ -411,14 +424,14 @@
 // this controller. Siblings alone don't count: where connections between all
 // controllers are refused, the lead would be passed round for nothing.
 func (b *brain) watchFollowers() {
-	if b.rights[keyLeader].stamp == 0 || b.now.Sub(b.lead.since) < 8*time.Second || !b.siblingsSilent(6*time.Second) || b.reporting() > 0 {
+	if b.rights[b.leaderKey()].stamp == 0 || b.now.Sub(b.lead.since) < 8*time.Second || !b.siblingsSilent(6*time.Second) || b.reporting() > 0 {
 		return
 	}
 	for _, p := range b.parts[:b.lentPart()] {
 		if h, ok := b.holders[p.key]; ok && h.Node != b.cfg.Name {
 			b.log.Info("neither workers nor other owners reach this leader: giving the lead up")
-			b.yield(keyLeader)
-			b.rights[keyLeader].rest = b.now.Add(yieldFor)
+			b.yield(b.leaderKey())
+			b.rights[b.leaderKey()].rest = b.now.Add(yieldFor)
 			return
 		}
 	}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -17,6 +17,8 @@
 	"eiderhitch/internal/core"
 	"eiderhitch/internal/fleet"
 	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/record"
+	"eiderhitch/internal/rollout"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -38,8 +40,8 @@
 // outside is how a controller reaches the world.
 type outside struct {
 	state, cloud, workers http.RoundTripper
-	// send hands a status frame to all siblings.
-	send func(frame []byte)
+	// send hands a status frame to a sibling.
+	send func(sibling string, frame []byte)
 	// jitter draws a duration below the given one; nil: at random.
 	jitter func(time.Duration) time.Duration
 }
@@ -57,21 +59,21 @@
 		cl: cloud.NewClient(cfg.External.Cloud, s.Cloud.RPS, out.cloud), fl: fleet.NewClient(out.workers), send: out.send, jitter: out.jitter,
 		hold: config.HoldTime(s.Workers.CancelS, s.Workers.LeaseS), lease: config.LeaseEnd(s.Workers.CancelS, s.Workers.LeaseS),
 		vers: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*job{}, over: map[string]uint8{}, recByKey: map[string]*rec{},
-		holders: map[string]holder{}, gone: map[string]bool{}, goneKeys: map[string]gone{}, lends: map[string]*lend{}, teams: map[string]int32{}, within: cfg.Within(), maxRec: maxEntries(s.State.ValueKB),
-		rights: map[string]*right{keyLeader: {key: keyLeader}}, machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
+		holders: map[string]record.Holder{}, gone: map[string]bool{}, goneKeys: map[string]gone{}, lends: map[string]*lend{}, teams: map[string]int32{}, within: cfg.Within(), maxRec: maxEntries(s.State.ValueKB),
+		rights: rightsUnder(rollout.Initial.Keys(), s.Count), machines: map[string]*machine{}, siblings: map[string]*sibling{}, leaving: map[string]bool{},
 		outcomes: map[core.Task]outcome{}, doMost: cfg.DirectCommands(), metrics: newMetrics(), steps: 1,
 	}
+	b.levels = newLevels(cfg, op)
 	b.now = time.Now()
 	b.startedAt = b.now
 	for _, t := range s.Teams {
 		b.team(t.Name)
 	}
 	for n := range s.Count {
-		b.parts = append(b.parts, &part{n: n, key: partKey(n)})
-		b.rights[partKey(n)] = &right{key: partKey(n)}
+		b.parts = append(b.parts, &part{n: n, key: b.levels.keys.Partition(n)})
 	}
 	// The last one is the leader's: machines that other parts have lent.
-	b.parts = append(b.parts, &part{n: s.Count, key: keyLeader})
+	b.parts = append(b.parts, &part{n: s.Count, key: b.leaderKey()})
 	for _, x := range cfg.Siblings {
 		b.siblings[x.Name] = &sibling{}
 	}
@@ -96,14 +98,12 @@
 		return &http.Transport{MaxConnsPerHost: perHost, MaxIdleConnsPerHost: perHost, MaxIdleConns: idle, IdleConnTimeout: keep, DisableCompression: true}
 	}
 	state, cl, fl := transport(16, 16, 30*time.Second), transport(4, 4, 30*time.Second), transport(1, cfg.DirectCommands(), 20*time.Second)
-	var senders []*mesh.Sender
+	senders := map[string]*mesh.Sender{}
 	for _, x := range cfg.Siblings {
-		senders = append(senders, mesh.NewSender(x.Addr))
+		senders[x.Name] = mesh.NewSender(x.Addr)
 	}
-	b := newBrain(ctx, cfg, op, log, outside{state: state, cloud: cl, workers: fl, send: func(frame []byte) {
-		for _, s := range senders {
-			s.Offer(frame)
-		}
+	b := newBrain(ctx, cfg, op, log, outside{state: state, cloud: cl, workers: fl, send: func(sibling string, frame []byte) {
+		senders[sibling].Offer(frame)
 	}})
 	b.log.Info("controller starts", "boot", b.boot, "parts", s.Count, "hold", b.hold)
 	var wg sync.WaitGroup
@@ -132,6 +132,9 @@
 	for range 2 {
 		wg.Go(b.workCloud)
 	}
+	if b.op.FeatureLevels {
+		wg.Go(b.register)
+	}
 	wg.Go(b.loop)
 }
 
@@ -203,6 +206,7 @@
 		return
 	}
 	b.tendRights()
+	b.tendLevels()
 	b.watchHearing()
 	b.watchFollowers()
 	b.tendCloud()
@@ -219,13 +223,14 @@
 		begun := time.Now()
 		b.probeSilent()
 		b.releaseSilent()
-		b.send(mesh.AppendStatus(nil, b.status()))
+		b.tellSiblings()
 		b.metrics.spend(dStatus, begun)
 	}
 	if b.now.After(due.metrics) {
 		due.metrics = b.now.Add(metricsEvery)
 		b.layDown()
 		b.metrics.log(b.log, len(b.jobs)+len(b.over), len(b.machines), b.st.Stats())
+		b.logLevels(b.log)
 	}
 }
 
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -9,6 +9,7 @@
 
 	"eiderhitch/internal/api"
 	"eiderhitch/internal/core"
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -139,7 +140,7 @@
 	if j.Whole() {
 		tasks = j.Tasks
 	}
-	if len(mustJSON(jobValue{Fate: cancelled, At: b.now.UnixMilli(), Job: j})) > b.maxValue() {
+	if len(record.JSON(record.Job{Fate: cancelled, At: b.now.UnixMilli(), Job: j})) > b.maxValue() {
 		return "its description is larger than can be stored"
 	}
 	found := false
@@ -194,9 +195,12 @@
 	var result chan error
 	check := false
 	if !b.ask(ctx, laneUsers, func() {
+		refusal, refused := b.refuses()
 		switch {
 		case !b.loaded:
 			ans = unavailable("starting")
+		case refused:
+			ans = refusal
 		case b.known(j.ID) != nil:
 			check = true
 		case len(b.types) == 0:
@@ -209,7 +213,7 @@
 			result = make(chan error, 1)
 			b.write(&store.Unit{Urgent: true,
 				If:   []wire.Condition{{Key: jobKey(j.ID)}},
-				Then: []wire.Change{{Put: jobKey(j.ID), Value: mustJSON(jobValue{At: b.now.UnixMilli(), Job: j})}},
+				Then: []wire.Change{{Put: jobKey(j.ID), Value: record.JSON(record.Job{At: b.now.UnixMilli(), Job: j})}},
 			}, func(err error) { result <- err })
 		}
 	}) {
@@ -263,17 +267,24 @@
 	answer := make(chan api.Answer, 1)
 	if !b.ask(ctx, laneUsers, func() {
 		j := b.known(id)
+		refusal, refused := b.refuses()
 		switch {
 		case !b.loaded:
 			answer <- unavailable("starting")
-		case b.jobs[id] != nil && b.jobs[id].bad:
-			answer <- unavailable("a stored record of the job can't be decoded")
+		case refused:
+			answer <- refusal
 		case j != nil && j.fate != live:
 			answer <- api.Answer{Status: http.StatusOK, Body: j.state()}
+		case b.jobs[id] != nil && b.jobs[id].bad():
+			answer <- unavailable("a stored record of the job can't be decoded")
 		default:
 			b.afterRead(func(err error) {
 				if err != nil {
 					answer <- unavailable("state service out of reach")
+				} else if refusal, refused := b.refuses(); refused {
+					answer <- refusal
+				} else if j := b.jobs[id]; j != nil && j.bad() && j.fate == live {
+					answer <- unavailable("a stored record of the job can't be decoded")
 				} else if j := b.known(id); j != nil {
 					answer <- api.Answer{Status: http.StatusOK, Body: j.state()}
 				} else {
@@ -355,6 +366,10 @@
 // reach the state service stands back; in an outage for all nobody does, since
 // leaving and coming back would only make it longer for users.
 func (b *brain) noteReady() {
+	if b.levels.refusal != nil {
+		b.readyAt.Store(nil)
+		return
+	}
 	ready := b.loaded && len(b.types) > 0 && b.fresh(b.op.RightTTL+2*time.Second)
 	if !ready {
 		heard, ok := false, false
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/record"
+	"eiderhitch/internal/rollout"
 	"eiderhitch/internal/wire"
 
 	"github.com/google/go-cmp/cmp"
@@ -70,13 +72,13 @@
 func storedForm(name string) any {
 	switch kind, _, _ := strings.Cut(strings.TrimSuffix(name, ".json"), "-"); kind {
 	case "job":
-		return &jobValue{}
+		return &record.Job{}
 	case "group":
-		return &groupValue{}
+		return &record.Group{}
 	case "lend":
-		return &lendValue{}
+		return &record.Loan{}
 	case "holder":
-		return &holder{}
+		return &record.Holder{}
 	case "gone":
 		return &[]string{}
 	case "types":
@@ -102,7 +104,7 @@
 			if err := wire.Decode(raw, v); err != nil {
 				t.Errorf("%s of %s: %v", f.Name(), version, err)
 			}
-			if again := mustJSON(v); !bytes.Equal(again, raw) {
+			if again := record.JSON(v); !bytes.Equal(again, raw) {
 				t.Errorf("%s of %s: read and written again it is\n%s, not\n%s", f.Name(), version, again, raw)
 			}
 		}
@@ -114,6 +116,14 @@
 func readByProduction(key string, raw []byte) error {
 	var v any
 	switch {
+	case ofLevels(key) || strings.HasPrefix(key, "e/epoch/"):
+		// It takes these for holders of rights that it has no use for, and never writes them.
+		return wire.Decode(raw, &oldHolder{})
+	case record.FormOf(raw) == record.Checked:
+		if err := wire.Decode(raw, &oldGroup{}); err == nil {
+			return fmt.Errorf("%s: the version in production takes %s for a group", key, raw)
+		}
+		return nil
 	case strings.HasPrefix(key, preGroup):
 		v = &oldGroup{}
 	case strings.HasPrefix(key, preJob):
@@ -147,7 +157,9 @@
 func (c *cluster) checkStored() {
 	c.t.Helper()
 	gangs := map[string]bool{}
+	history := levelHistory{cluster: c, state: rollout.Initial, checked: map[string]bool{}}
 	for _, e := range c.world.State.History() {
+		history.check(e)
 		if e.Put == "" {
 			continue
 		}
@@ -160,10 +172,12 @@
 			_ = json.Unmarshal(e.Value, &v)
 			gangs[id] = gangs[id] || v.Job != nil && v.Job.Gang
 		}
-		if id, _, ok := splitGroupKey(e.Put); ok && strings.HasPrefix(e.Put, preGroup) && gangs[id] {
-			var v oldGroup
-			_ = json.Unmarshal(e.Value, &v)
-			if err := oneAttempt(&v); err != nil {
+		id, _, ok := splitGroupKey(e.Put)
+		if !ok || !strings.HasPrefix(e.Put, preGroup) || !gangs[id] {
+			continue
+		}
+		if v, _, err := record.DecodeGroup(e.Put, e.Value); err == nil {
+			if err := oneAttempt(v); err != nil {
 				c.t.Errorf("%s: %v", e.Put, err)
 			}
 		}
@@ -171,7 +185,7 @@
 }
 
 // oneAttempt checks that bound tasks of a gang's record have one attempt.
-func oneAttempt(v *oldGroup) error {
+func oneAttempt(v *record.Group) error {
 	attempt := uint64(0)
 	for _, task := range v.Tasks {
 		if task.Machine == "" {
@@ -202,12 +216,12 @@
 			t.Error(err)
 		}
 	}
-	strict(jobKey("wk-2"), mustJSON(jobValue{At: 5, Job: spec}))
+	strict(jobKey("wk-2"), record.JSON(record.Job{At: 5, Job: spec}))
 	strict(jobKey("wk-2"), b.cancelledValue(&job{spec: spec, at: b.now}))
 	for _, piece := range b.fit(r, 2, append(entries, make([]entry, 60)...)) {
-		strict(groupKey("wk-2", 0), piece)
+		strict(groupKey("wk-2", 0), piece.At(groupKey("wk-2", 0)))
 	}
-	strict(preLend+"host-1", mustJSON(lendValue{Job: poolJob, Ack: true}))
+	strict(preLend+"host-1", record.JSON(record.Loan{Job: poolJob, Ack: true}))
 }
 
 // Frames between controllers are the same in both versions, to the byte.
@@ -229,7 +243,7 @@
 	if d := cmp.Diff(want, s); d != "" {
 		t.Error(d)
 	}
-	if again := mesh.AppendStatus(nil, s); !bytes.Equal(again, raw) {
+	if again := mesh.AppendStatus(nil, s, mesh.Plain); !bytes.Equal(again, raw) {
 		t.Errorf("written again: % x", again)
 	}
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -20,6 +20,7 @@
 	"eiderhitch/internal/api"
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/mesh"
+	"eiderhitch/internal/rollout"
 	"eiderhitch/internal/standin"
 	"eiderhitch/internal/wire"
 )
@@ -34,13 +35,23 @@
 	mu    sync.Mutex // of what several users share
 	// foreign are keys whose values a test has written itself.
 	foreign map[string]bool
+	// boots are the ranges of the versions that processes were of, by what they drew.
+	boots map[string]rollout.Range
+	// upgrades: the controllers take part in staged upgrades.
+	upgrades bool
 	// looks: until then users ask everywhere as soon as they were told something.
 	looks atomic.Pointer[time.Time]
 }
 
 type node struct {
-	cfg     *config.Platform
-	net     *standin.Net
+	cfg *config.Platform
+	net *standin.Net
+	// op are the operators' settings; nil: the defaults.
+	op *config.Operator
+	// supported is the range of levels of the node's version; nil: the present one's.
+	supported *rollout.Range
+	// unaware: the node's version does not know levels.
+	unaware bool
 	brain   *brain
 	cancel  context.CancelFunc
 	wg      *sync.WaitGroup
@@ -58,6 +69,11 @@
 // inWorld runs f with a started cluster and checks afterwards that no rule and
 // no limit of the state service was broken.
 func inWorld(t *testing.T, f func(c *cluster)) {
+	inWorldWith(t, func(*node) {}, f)
+}
+
+// inWorldWith is inWorld with nodes that are set up otherwise.
+func inWorldWith(t *testing.T, setUp func(*node), f func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		names, addrs := []string{"n0", "n1", "n2"}, []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
@@ -78,7 +94,9 @@
 			s.Workers.GangWaitS, s.Workers.GangPeerS = w.GangWaitS, w.GangPeerS
 			s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 250, 60, 8, 32
 			s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
-			c.nodes = append(c.nodes, &node{cfg: cfg, net: w.Net()})
+			n := &node{cfg: cfg, net: w.Net()}
+			setUp(n)
+			c.nodes = append(c.nodes, n)
 		}
 		w.SetLimit("red", 24)
 		for i := range c.nodes {
@@ -149,16 +167,19 @@
 		out = os.Stderr
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	b := newBrain(ctx, n.cfg, config.DefaultOperator(), log, outside{state: n.net, cloud: n.net, workers: n.net, jitter: func(most time.Duration) time.Duration {
+	b := newBrain(ctx, n.cfg, n.operator(), log, outside{state: n.stateTransport(), cloud: n.net, workers: n.net, jitter: func(most time.Duration) time.Duration {
 		return time.Duration(standin.Draw(uint64(i), n.cfg.Name) * float64(most))
-	}, send: func(frame []byte) {
-		for k, o := range c.nodes {
+	}, send: func(sibling string, frame []byte) {
+		for _, o := range c.nodes {
 			o.mu.Lock()
 			to, cut := o.brain, o.meshCut.Load() || n.meshCut.Load()
 			o.mu.Unlock()
-			if k == i || to == nil || cut {
+			if o.cfg.Name != sibling || to == nil || cut {
 				continue
 			}
+			if o.unaware && mesh.Version(frame[2]) != mesh.Plain {
+				continue // refused by name
+			}
 			s, err := mesh.ReadStatus(bytes.NewReader(frame))
 			if err != nil {
 				c.t.Error(err)
@@ -167,6 +188,10 @@
 			go to.post(laneWorkers, func() { to.takeStatus(s) })
 		}
 	}})
+	if n.supported != nil {
+		b.levels.supported = *n.supported
+	}
+	c.noteBoot(n, b)
 	n.mu.Lock()
 	n.brain, n.cancel, n.wg = b, cancel, &sync.WaitGroup{}
 	n.mu.Unlock()
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -3,7 +3,8 @@
 //
 // A frame is the magic "EH", a version byte, a kind byte, the payload's length
 // (4 bytes, big endian) and the payload. Numbers are unsigned varints, strings
-// a length and their bytes.
+// a length and their bytes. In version 3 a checksum stands before the content, and
+// a machine's strings are coded by what they share with those of the one before.
 package mesh
 
 import (
@@ -11,17 +12,27 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"eiderhitch/internal/codec"
 )
 
-// Version of the format; a peer speaking another one is refused by name.
-const Version = 2
+// Version is a version of the format; a peer speaking an unknown one is refused by name.
+type Version uint8
+
+const (
+	// Plain is understood by all versions of the program.
+	Plain Version = 2
+	// Checked has a checksum and is smaller. It comes with feature level 2.
+	Checked Version = 3
+)
 
 const (
 	kindStatus = 1
 	headerSize = 8
-	// maxPayload bounds a frame: a status of some thousand machines.
+	// maxPayload bounds a frame: a status of ten thousand machines with long names.
 	maxPayload = 1 << 20
-	maxString  = 1 << 10
+	// checksumDomain keeps frames' checksums apart from those of other values.
+	checksumDomain = "eiderhitch status frame"
 )
 
 // Flags of a machine.
@@ -64,49 +75,100 @@
 	Closing []string
 }
 
-// ErrVersion says that the peer speaks another version.
-var ErrVersion = errors.New("mesh: peer speaks another version")
+// Errors of frames.
+var (
+	// ErrVersion says that the peer speaks another version.
+	ErrVersion = errors.New("mesh: peer speaks another version")
+	// ErrChecksum says that a frame is damaged.
+	ErrChecksum = errors.New("mesh: checksum of a frame does not match")
+)
 
 // AppendStatus appends a frame with s to buf.
-func AppendStatus(buf []byte, s *Status) []byte {
+func AppendStatus(buf []byte, s *Status, version Version) []byte {
 	start := len(buf)
-	buf = append(buf, 'E', 'H', Version, kindStatus, 0, 0, 0, 0)
-	buf = appendString(buf, s.Node)
-	buf = appendString(buf, s.Boot)
+	buf = append(buf, 'E', 'H', byte(version), kindStatus, 0, 0, 0, 0)
+	if version == Checked {
+		var none [codec.ChecksumSize]byte
+		buf = append(buf, none[:]...)
+	}
+	content := len(buf)
+	buf = appendHead(buf, s)
+	if version == Checked {
+		buf = appendMachinesBySuffix(buf, s)
+	} else {
+		buf = appendMachines(buf, s)
+	}
+	if version == Checked {
+		sum := codec.Checksum(checksumDomain, "", byte(version), buf[content:])
+		copy(buf[content-codec.ChecksumSize:], sum[:])
+	}
+	binary.BigEndian.PutUint32(buf[start+4:], uint32(len(buf)-start-headerSize))
+	return buf
+}
+
+// appendHead appends what a controller tells about itself.
+func appendHead(buf []byte, s *Status) []byte {
+	buf = codec.AppendString(buf, s.Node)
+	buf = codec.AppendString(buf, s.Boot)
 	var flags uint8
 	if s.Fresh {
-		flags |= 1
+		flags |= flagFresh
 	}
 	if s.Able {
-		flags |= 2
+		flags |= flagAble
 	}
 	buf = append(buf, flags)
 	buf = binary.AppendUvarint(buf, uint64(len(s.Parts)))
 	for _, p := range s.Parts {
 		buf = binary.AppendUvarint(buf, p)
 	}
+	return buf
+}
+
+// Flags of a status.
+const (
+	flagFresh = 1 << iota
+	flagAble
+)
+
+func appendMachines(buf []byte, s *Status) []byte {
 	buf = binary.AppendUvarint(buf, uint64(len(s.Machines)))
 	for i := range s.Machines {
 		m := &s.Machines[i]
-		buf = appendString(buf, m.Name)
-		buf = appendString(buf, m.Addr)
-		buf = appendString(buf, m.Type)
-		buf = appendString(buf, m.Zone)
+		buf = codec.AppendString(buf, m.Name)
+		buf = codec.AppendString(buf, m.Addr)
+		buf = codec.AppendString(buf, m.Type)
+		buf = codec.AppendString(buf, m.Zone)
 		buf = binary.AppendUvarint(buf, m.Session)
 		buf = append(buf, m.Flags)
 	}
 	buf = binary.AppendUvarint(buf, uint64(len(s.Closing)))
 	for _, name := range s.Closing {
-		buf = appendString(buf, name)
+		buf = codec.AppendString(buf, name)
 	}
-	binary.BigEndian.PutUint32(buf[start+4:], uint32(len(buf)-start-headerSize))
 	return buf
 }
 
-func appendString(buf []byte, s string) []byte {
-	s = s[:min(len(s), maxString)]
-	buf = binary.AppendUvarint(buf, uint64(len(s)))
-	return append(buf, s...)
+func appendMachinesBySuffix(buf []byte, s *Status) []byte {
+	buf = binary.AppendUvarint(buf, uint64(len(s.Machines)))
+	before := &Machine{}
+	for i := range s.Machines {
+		m := &s.Machines[i]
+		buf = codec.AppendSuffix(buf, before.Name, m.Name)
+		buf = codec.AppendSuffix(buf, before.Addr, m.Addr)
+		buf = codec.AppendSuffix(buf, before.Type, m.Type)
+		buf = codec.AppendSuffix(buf, before.Zone, m.Zone)
+		buf = binary.AppendUvarint(buf, m.Session)
+		buf = append(buf, m.Flags)
+		before = m
+	}
+	buf = binary.AppendUvarint(buf, uint64(len(s.Closing)))
+	last := ""
+	for _, name := range s.Closing {
+		buf = codec.AppendSuffix(buf, last, name)
+		last = name
+	}
+	return buf
 }
 
 // ReadStatus reads one frame.
@@ -118,8 +180,9 @@
 	if h[0] != 'E' || h[1] != 'H' {
 		return nil, errors.New("mesh: not a frame")
 	}
-	if h[2] != Version {
-		return nil, fmt.Errorf("%w: %d, we speak %d", ErrVersion, h[2], Version)
+	version := Version(h[2])
+	if version != Plain && version != Checked {
+		return nil, fmt.Errorf("%w: %d, we speak %d and %d", ErrVersion, version, Plain, Checked)
 	}
 	if h[3] != kindStatus {
 		return nil, fmt.Errorf("mesh: unknown kind %d", h[3])
@@ -132,75 +195,69 @@
 	if _, err := io.ReadFull(r, payload); err != nil {
 		return nil, err
 	}
-	return parseStatus(payload)
+	return parseStatus(payload, version)
 }
 
-type reader struct {
-	buf []byte
-	bad bool
-}
+// leastMachine is the least that a machine takes in any version.
+const leastMachine = 6
 
-func (r *reader) number() uint64 {
-	v, n := binary.Uvarint(r.buf)
-	if n <= 0 {
-		r.bad = true
-		return 0
-	}
-	r.buf = r.buf[n:]
-	return v
-}
+var errMalformed = errors.New("mesh: malformed status")
 
-func (r *reader) text() string {
-	n := r.number()
-	if r.bad || n > maxString || n > uint64(len(r.buf)) {
-		r.bad = true
-		return ""
+func parseStatus(payload []byte, version Version) (*Status, error) {
+	if version == Checked {
+		if len(payload) < codec.ChecksumSize {
+			return nil, errMalformed
+		}
+		sum, content := payload[:codec.ChecksumSize], payload[codec.ChecksumSize:]
+		if !codec.ChecksumMatches(sum, checksumDomain, "", byte(version), content) {
+			return nil, ErrChecksum
+		}
+		payload = content
 	}
-	s := string(r.buf[:n])
-	r.buf = r.buf[n:]
-	return s
-}
-
-func (r *reader) byte() uint8 {
-	if len(r.buf) == 0 {
-		r.bad = true
-		return 0
+	r := codec.NewReader(payload)
+	s := &Status{Node: r.Text(), Boot: r.Text()}
+	flags := r.Byte()
+	s.Fresh, s.Able = flags&flagFresh != 0, flags&flagAble != 0
+	for range r.Count(1) {
+		s.Parts = append(s.Parts, r.Number())
+	}
+	if version == Checked {
+		readMachinesBySuffix(r, s)
+	} else {
+		readMachines(r, s)
+	}
+	if !r.Done() {
+		return nil, errMalformed
 	}
-	b := r.buf[0]
-	r.buf = r.buf[1:]
-	return b
+	return s, nil
 }
 
-// count reads a number of elements of at least least bytes each.
-func (r *reader) count(least int) int {
-	n := r.number()
-	if r.bad || n > uint64(len(r.buf)/least) {
-		r.bad = true
-		return 0
+func readMachines(r *codec.Reader, s *Status) {
+	for range r.Count(leastMachine) {
+		s.Machines = append(s.Machines, Machine{Name: r.Text(), Addr: r.Text(), Type: r.Text(), Zone: r.Text(),
+			Session: r.Number(), Flags: r.Byte()})
+		if r.Bad() {
+			return
+		}
+	}
+	for range r.Count(1) {
+		s.Closing = append(s.Closing, r.Text())
 	}
-	return int(n)
 }
 
-func parseStatus(payload []byte) (*Status, error) {
-	r := &reader{buf: payload}
-	s := &Status{Node: r.text(), Boot: r.text()}
-	flags := r.byte()
-	s.Fresh, s.Able = flags&1 != 0, flags&2 != 0
-	for range r.count(1) {
-		s.Parts = append(s.Parts, r.number())
-	}
-	for range r.count(6) {
-		s.Machines = append(s.Machines, Machine{Name: r.text(), Addr: r.text(), Type: r.text(), Zone: r.text(),
-			Session: r.number(), Flags: r.byte()})
-		if r.bad {
-			break
+func readMachinesBySuffix(r *codec.Reader, s *Status) {
+	before := Machine{}
+	for range r.Count(leastMachine) {
+		before = Machine{Name: r.Suffix(before.Name), Addr: r.Suffix(before.Addr), Type: r.Suffix(before.Type), Zone: r.Suffix(before.Zone),
+			Session: r.Number(), Flags: r.Byte()}
+		if r.Bad() {
+			return
 		}
+		s.Machines = append(s.Machines, before)
 	}
-	for range r.count(1) {
-		s.Closing = append(s.Closing, r.text())
+	last := ""
+	for range r.Count(1) {
+		last = r.Suffix(last)
+		s.Closing = append(s.Closing, last)
 	}
-	if r.bad || len(r.buf) != 0 {
-		return nil, errors.New("mesh: malformed status")
-	}
-	return s, nil
 }
--- a/internal/mesh/frame_test.go
+++ b/internal/mesh/frame_test.go
@@ -24,12 +24,28 @@
 		if len(s.Parts) == 0 {
 			s.Parts = nil
 		}
-		got, err := ReadStatus(bytes.NewReader(AppendStatus(nil, s)))
-		if err != nil {
-			t.Fatal(err)
+		for _, version := range versions {
+			got, err := ReadStatus(bytes.NewReader(AppendStatus(nil, s, version)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d := cmp.Diff(s, got); d != "" {
+				t.Fatal(d)
+			}
 		}
-		if d := cmp.Diff(s, got); d != "" {
-			t.Fatal(d)
+	})
+}
+
+var versions = []Version{Plain, Checked}
+
+// A checked frame that is damaged is refused, whatever the damage would make of it.
+func TestDamagedFramesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		frame := AppendStatus(nil, &Status{Node: "n", Boot: "b", Parts: []uint64{1}, Machines: []Machine{{Name: "m", Addr: "10.1.0.2:9000", Session: 3}}}, Checked)
+		at := rapid.IntRange(headerSize, len(frame)-1).Draw(t, "at")
+		frame[at] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+		if s, err := ReadStatus(bytes.NewReader(frame)); !errors.Is(err, ErrChecksum) {
+			t.Fatalf("byte %d: %+v, %v", at, s, err)
 		}
 	})
 }
@@ -37,7 +53,7 @@
 // A bad frame is an error, never a panic and never a huge allocation.
 func TestBadFrames(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		good := AppendStatus(nil, &Status{Node: "n", Parts: []uint64{1}, Machines: []Machine{{Name: "m"}}})
+		good := AppendStatus(nil, &Status{Node: "n", Parts: []uint64{1}, Machines: []Machine{{Name: "m"}}}, rapid.SampledFrom(versions).Draw(t, "version"))
 		for range rapid.IntRange(1, 4).Draw(t, "flips") {
 			good[rapid.IntRange(0, len(good)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
 		}
@@ -47,26 +63,31 @@
 			t.Fatalf("status %v, error %v", s, err)
 		}
 	})
-	other := AppendStatus(nil, &Status{})
-	other[2] = Version + 1
+	other := AppendStatus(nil, &Status{}, Plain)
+	other[2] = byte(Checked) + 1
 	if _, err := ReadStatus(bytes.NewReader(other)); !errors.Is(err, ErrVersion) {
 		t.Fatalf("another version: %v", err)
 	}
 }
 
-// The status of an owner of 2,000 machines, all of them being emptied, fits a frame.
+// The status of the only owner of 4,000 machines, all of them being emptied, fits a frame
+// of either version.
 func TestStatusOfManyMachines(t *testing.T) {
-	s := &Status{Node: "perch-0", Boot: "0123456789abcdef", Parts: []uint64{0}}
-	for i := range 2000 {
+	s := &Status{Node: "perch-0", Boot: "0123456789abcdef", Parts: []uint64{0, 1, 2, 3, 4, 5}}
+	for i := range 4000 {
 		name := fmt.Sprintf("host-%06d-in-a-long-name", i)
-		s.Machines = append(s.Machines, Machine{Name: name, Addr: "10.101.102.103:65535", Type: "a-large-type", Zone: "a-long-zone", Session: 1 << 40, Flags: Up})
+		s.Machines = append(s.Machines, Machine{Name: name, Addr: fmt.Sprintf("10.101.%d.%d:65535", i/250, i%250), Type: "a-large-type", Zone: "a-long-zone", Session: 1 << 40, Flags: Up})
 		s.Closing = append(s.Closing, name)
 	}
-	got, err := ReadStatus(bytes.NewReader(AppendStatus(nil, s)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if d := cmp.Diff(s, got); d != "" {
-		t.Error(d)
+	for _, version := range versions {
+		frame := AppendStatus(nil, s, version)
+		t.Logf("version %d: %d bytes", version, len(frame))
+		got, err := ReadStatus(bytes.NewReader(frame))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(s, got); d != "" {
+			t.Error(d)
+		}
 	}
 }
--- /dev/null
+++ b/internal/rollout/level.go
@@ -0,0 +1,53 @@
+// Package rollout upgrades a cluster of controllers in stages: a form of stored records
+// or of messages that an earlier version does not know is used only once every controller
+// reads it, and can be given up again.
+//
+// The decisions are pure (Decide); what they change is one stored record (State), written
+// by a transaction that names the version of everything the decision rests on (Txn).
+package rollout
+
+import "fmt"
+
+// Level is a feature level: a set of stored and transmitted forms.
+type Level uint32
+
+const (
+	// BaseLevel is what all versions read and write that do not know levels.
+	BaseLevel Level = 1
+	// ChecksumLevel brings checksums to task group records and status frames.
+	ChecksumLevel Level = 2
+)
+
+// Range is the levels that a version reads and writes.
+type Range struct {
+	Low  Level `json:"low"`
+	High Level `json:"high"`
+}
+
+// Supported is the range of this version.
+var Supported = Range{Low: BaseLevel, High: ChecksumLevel}
+
+// Includes tells whether a level is in the range.
+func (r Range) Includes(l Level) bool { return r.Low <= l && l <= r.High }
+
+// String is the range in words.
+func (r Range) String() string { return fmt.Sprintf("%d-%d", r.Low, r.High) }
+
+// Feature is what a level changes.
+type Feature struct {
+	Level Level
+	Name  string
+	// WhenActive is what begins as soon as the level is active. Controllers that don't
+	// know the level work on beside it.
+	WhenActive string
+	// WhenFinal is what begins when the level is final. Controllers that don't know the
+	// level are kept out from then on.
+	WhenFinal string
+}
+
+// Features lists the levels that this version knows.
+var Features = []Feature{
+	{Level: BaseLevel, Name: "base", WhenActive: "nothing", WhenFinal: "records in form 1, status frames of version 2"},
+	{Level: ChecksumLevel, Name: "checksums", WhenActive: "status frames of version 3 to controllers that read them",
+		WhenFinal: "task group records in form 2; partitions and leadership under keys of their own"},
+}
--- /dev/null
+++ b/internal/rollout/model_test.go
@@ -0,0 +1,341 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The model has two controllers, one right (partitions and leadership are alike) and the
+// stored records, of which only the forms matter. A transaction is decided upon at one
+// moment and applied at another; whatever it is conditional on voids it when it changes.
+
+const modelControllers = 2
+
+// modelRanges are the versions that a process may be of; an empty range is one that does
+// not know levels.
+var modelRanges = []Range{{}, {1, 1}, {1, 2}, {1, 3}, {2, 3}}
+
+type process struct {
+	running    bool
+	version    int   // in modelRanges
+	registered Range // in its record; empty: there is none
+}
+
+type model struct {
+	state     State // its epoch is left out, it only ever rises
+	processes [modelControllers]process
+	// owner holds the right, 0: nobody, else one more than its index. It writes as it
+	// last saw the state, however long ago that was.
+	owner       int
+	ownerWrites Level
+	forms       [4]bool // stored records, by form
+	pending     Step    // a transaction on its way whose conditions hold still
+	pendingFor  State   // what it leads to
+}
+
+func (p process) aware() bool { return modelRanges[p.version].High > 0 }
+
+// reads is the range of forms that a process reads.
+func (p process) reads() Range {
+	if !p.aware() {
+		return Range{BaseLevel, BaseLevel}
+	}
+	return modelRanges[p.version]
+}
+
+func (m *model) view(leading bool) View {
+	v := View{Now: time.UnixMilli(0), Members: []string{"0", "1"}, Controllers: map[string]Registered{}, Leading: leading, Current: true,
+		Partitions: 1, TransactionChanges: 10}
+	for i, p := range m.processes {
+		if p.registered.High > 0 {
+			v.Controllers[fmt.Sprint(i)] = Registered{Controller: Controller{Range: p.registered}}
+		}
+	}
+	for form, there := range m.forms {
+		if there && Level(form) > m.state.Writes() {
+			v.Above++
+		}
+	}
+	return v
+}
+
+// admitted tells whether a process takes rights in the present state: one without levels
+// goes by the keys alone, which are closed above the base level.
+func (m *model) admitted(p process) bool {
+	if !p.running || m.state.Phase == Closed {
+		return false
+	}
+	if !p.aware() {
+		return m.state.Level == BaseLevel
+	}
+	return m.state.Admits(modelRanges[p.version])
+}
+
+// action is something that may happen, with its name.
+type action struct {
+	name string
+	do   func(*model)
+}
+
+// next lists the states that one action leads to, each with the action's name.
+func (m model) next(versions int) (out []model, names []string) {
+	for _, a := range m.actions(versions) {
+		n := m
+		a.do(&n)
+		if n != m {
+			out, names = append(out, n), append(names, a.name)
+		}
+	}
+	return out, names
+}
+
+func (m model) actions(versions int) []action {
+	all := []action{
+		{"owner reads", (*model).ownerSees},
+		{"right lost", func(n *model) { n.releaseRight(n.owner - 1) }},
+		{"write", (*model).write},
+		{"rewrite", func(n *model) {
+			if n.owner > 0 {
+				n.forms = [4]bool{}
+			}
+			n.write()
+		}},
+		{"commit", (*model).commit},
+	}
+	for _, w := range []Wish{WishFinalize, WishAbort} {
+		all = append(all, action{string(w), func(n *model) {
+			n.state.Wish = w
+			n.pending = NoStep
+		}})
+	}
+	for i := range m.processes {
+		all = append(all, processActions(i, versions)...)
+	}
+	return all
+}
+
+func processActions(i, versions int) []action {
+	all := []action{
+		{fmt.Sprintf("kill %d", i), func(n *model) { n.processes[i].running = false }},
+		{fmt.Sprintf("lease of %d ends", i), func(n *model) {
+			n.processes[i].registered = Range{}
+			n.controllerChanged()
+		}},
+		{fmt.Sprintf("register %d", i), func(n *model) {
+			if p := &n.processes[i]; p.running && p.aware() {
+				p.registered = modelRanges[p.version]
+				n.controllerChanged()
+			}
+		}},
+		{fmt.Sprintf("take right %d", i), func(n *model) {
+			if n.owner == 0 && n.admitted(n.processes[i]) {
+				n.owner = i + 1
+				n.ownerSees()
+			}
+		}},
+		{fmt.Sprintf("decide %d", i), func(n *model) { n.decide(i) }},
+	}
+	for version := range versions {
+		all = append(all, action{fmt.Sprintf("restart %d as %v", i, modelRanges[version]), func(n *model) {
+			n.processes[i].running, n.processes[i].version = true, version
+			n.releaseRight(i)
+		}})
+	}
+	return all
+}
+
+func (m *model) write() {
+	if m.owner > 0 {
+		m.forms[m.ownerWrites] = true
+	}
+}
+
+func (m *model) releaseRight(i int) {
+	if m.owner == i+1 {
+		m.owner, m.ownerWrites = 0, 0
+		if m.state.Phase != Closed {
+			m.pending = NoStep // it was conditional on the term
+		}
+	}
+}
+
+// ownerSees has the owner read the present state.
+func (m *model) ownerSees() {
+	if m.owner == 0 {
+		return
+	}
+	m.ownerWrites = BaseLevel
+	if m.processes[m.owner-1].aware() {
+		m.ownerWrites = m.state.Writes()
+	}
+}
+
+// controllerChanged voids what is conditional on the controllers' records.
+func (m *model) controllerChanged() {
+	if m.pending == Activate || m.pending == Finalize {
+		m.pending = NoStep
+	}
+}
+
+func (m *model) decide(i int) {
+	p := m.processes[i]
+	if !p.running || !p.aware() || m.state.Phase != Closed && m.owner != i+1 || !m.state.Admits(modelRanges[p.version]) {
+		return
+	}
+	step, next := Decide(m.state, m.view(m.owner == i+1))
+	next.Epoch = 0
+	m.pending, m.pendingFor = step, next
+	if step == NoStep {
+		m.pendingFor = State{}
+	}
+}
+
+func (m *model) commit() {
+	step := m.pending
+	if step == NoStep {
+		return
+	}
+	m.state = m.pendingFor
+	m.pending, m.pendingFor = NoStep, State{}
+	if step == Finalize || step == Close {
+		m.owner, m.ownerWrites = 0, 0
+	}
+}
+
+// broken says which invariant does not hold, or "".
+func (m *model) broken() string {
+	for form, there := range m.forms {
+		if there && Level(form) > m.state.Level {
+			return fmt.Sprintf("form %d is stored at level %d", form, m.state.Level)
+		}
+	}
+	if m.owner > 0 {
+		for form, there := range m.forms {
+			if r := m.processes[m.owner-1].reads(); there && Level(form) > r.High {
+				return fmt.Sprintf("the owner reads %s, form %d is stored", r, form)
+			}
+		}
+	}
+	if m.state.Level > 3 || m.state.check2() != nil {
+		return fmt.Sprintf("state %+v makes no sense", m.state)
+	}
+	return ""
+}
+
+// badStep says what is wrong with a transition, or "".
+func badStep(m, n model) string {
+	if d := int(n.state.Level) - int(m.state.Level); d > 1 || d < -1 {
+		return fmt.Sprintf("from level %d to %d", m.state.Level, n.state.Level)
+	}
+	raised := n.state.Level > m.state.Level || n.state.Phase == Activated && m.state.Phase == Stable
+	for i, p := range n.processes {
+		if raised && !p.registered.Includes(n.state.Active()) {
+			return fmt.Sprintf("level %d is raised though controller %d reads %s", n.state.Active(), i, p.registered)
+		}
+	}
+	return ""
+}
+
+// check2 is the state's check, with the epoch that the model leaves out.
+func (s State) check2() error {
+	s.Epoch = 1
+	return s.check()
+}
+
+func start() model {
+	m := model{state: Initial}
+	m.forms[1] = true
+	return m
+}
+
+// The whole state space for two controllers of versions that read up to level 2: no
+// invariant breaks in any state, no step skips a level, and from each state there is a
+// way both to the base level, served by a version without levels, and to level 2.
+func TestEveryReachableStateIsSafeAndHasAWayOn(t *testing.T) {
+	const versions = 3
+	index := map[model]int32{start(): 0}
+	states := []model{start()}
+	var before [][]int32 // by state: those that lead to it
+	before = append(before, nil)
+	for at := 0; at < len(states); at++ {
+		m := states[at]
+		if why := m.broken(); why != "" {
+			t.Fatalf("%s: %+v", why, m)
+		}
+		successors, names := m.next(versions)
+		for k, n := range successors {
+			if why := badStep(m, n); why != "" {
+				t.Fatalf("%s: %s: %+v", names[k], why, m)
+			}
+			to, known := index[n]
+			if !known {
+				to = int32(len(states))
+				index[n] = to
+				states, before = append(states, n), append(before, nil)
+			}
+			before[to] = append(before[to], int32(at))
+		}
+	}
+	t.Logf("%d states", len(states))
+	for name, goal := range map[string]func(model) bool{
+		"the base level with an owner that does not know levels": func(m model) bool {
+			return m.state.Level == BaseLevel && m.state.Phase == Stable && m.owner > 0 && !m.processes[m.owner-1].aware()
+		},
+		"level 2": func(m model) bool { return m.state.Level == 2 && m.state.Phase == Stable && m.owner > 0 },
+	} {
+		if n := unreachable(states, before, goal); n > 0 {
+			t.Errorf("%d of %d states have no way to %s", n, len(states), name)
+		}
+	}
+}
+
+// unreachable counts the states from which no goal can be reached.
+func unreachable(states []model, before [][]int32, goal func(model) bool) int {
+	reached := make([]bool, len(states))
+	var queue []int32
+	for i, m := range states {
+		if goal(m) {
+			reached[i] = true
+			queue = append(queue, int32(i))
+		}
+	}
+	for len(queue) > 0 {
+		at := queue[0]
+		queue = queue[1:]
+		for _, from := range before[at] {
+			if !reached[from] {
+				reached[from] = true
+				queue = append(queue, from)
+			}
+		}
+	}
+	n := 0
+	for _, ok := range reached {
+		if !ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Generated walks with versions that read up to level 3, and one that has given up the
+// base level.
+func TestGeneratedUpgrades(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := start()
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			successors, names := m.next(len(modelRanges))
+			k := rapid.IntRange(0, len(successors)-1).Draw(t, "action")
+			if why := badStep(m, successors[k]); why != "" {
+				t.Fatalf("%s: %s: %+v", names[k], why, m)
+			}
+			m = successors[k]
+			if why := m.broken(); why != "" {
+				t.Fatalf("after %s: %s: %+v", names[k], why, m)
+			}
+		}
+	})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -50,8 +50,10 @@
 	Refused, Taken int
 	// Largest is the most changes that a transaction had.
 	Largest int
-	bucket  float64
-	filled  time.Time
+	// before changes a transaction before it is carried out; nil: none.
+	before func(*wire.Txn)
+	bucket float64
+	filled time.Time
 }
 
 // NewState returns an empty state service.
@@ -78,6 +80,14 @@
 	s.MaxValue, s.MaxOps = value, ops
 }
 
+// Before has a function change each transaction before it is carried out, as if another
+// caller's change came at that very moment.
+func (s *State) Before(f func(*wire.Txn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before = f
+}
+
 // Larger counts the values beyond a size.
 func (s *State) Larger(than int) int {
 	s.mu.Lock()
@@ -183,6 +193,8 @@
 	switch {
 	case r.URL.Path == "/kv":
 		s.list(w, r)
+	case strings.HasPrefix(r.URL.Path, "/kv/"):
+		s.get(w, strings.TrimPrefix(r.URL.Path, "/kv/"))
 	case r.URL.Path == "/txn":
 		s.txn(w, body)
 	case r.URL.Path == "/leases":
@@ -211,6 +223,15 @@
 	}
 }
 
+func (s *State) get(w http.ResponseWriter, key string) {
+	v, ok := s.keys[key]
+	if !ok {
+		reply(w, http.StatusNotFound, wire.TxnAnswer{Revision: s.rev})
+		return
+	}
+	reply(w, http.StatusOK, wire.Item{Key: key, Value: v.raw, Version: v.stamp})
+}
+
 func (s *State) list(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	most, _ := strconv.Atoi(q.Get("most"))
@@ -234,6 +255,9 @@
 		reply(w, http.StatusBadRequest, struct{}{})
 		return
 	}
+	if s.before != nil {
+		s.before(&t)
+	}
 	tooMuch := len(t.Then) > s.MaxOps || len(t.If) > 4*s.MaxOps || len(body) > 64<<10
 	for _, c := range t.Then {
 		tooMuch = tooMuch || len(c.Value) > s.MaxValue
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// Version is the version of a key; 0: it does not exist.
+func (c *Client) Version(ctx context.Context, key string) (uint64, error) {
+	item, err := c.Get(ctx, key)
+	if err != nil || item == nil {
+		return 0, err
+	}
+	return item.Version, nil
+}
+
+// Get reads a key; nil: it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (*wire.Item, error) {
+	var item wire.Item
+	status, err := c.call(ctx, request{http.MethodGet, "/kv/" + key, nil, callTimeout}, &item)
+	if err != nil {
+		return nil, err
+	}
+	switch status {
+	case http.StatusOK:
+		return &item, nil
+	case http.StatusNotFound:
+		return nil, nil
+	}
+	return nil, fmt.Errorf("state service: read of a key: status %d", status)
+}
+
 // Watch returns the changes below prefix after revision since, waiting for one.
 func (c *Client) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (*wire.Events, error) {
 	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)},
