--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,9 @@
 	// FeatureLevels: this controller tells which levels it reads, and takes part in
 	// raising the level in force (docs/upgrades.md).
 	FeatureLevels bool
+	// HighestLevel: this controller works as a version that reads no higher level;
+	// 0: as high as it can.
+	HighestLevel int
 	// FinalizeAfter: an active level becomes final after this time without a restart of
 	// any controller; 0: only by an operator's word.
 	FinalizeAfter time.Duration
@@ -118,6 +121,8 @@
 			err = choice(e, &o.FeatureLevels)
 		case "finalize-after":
 			err = span(e, &o.FinalizeAfter, time.Second, 30*24*time.Hour)
+		case "highest-level":
+			err = whole(e, &o.HighestLevel, 1, 1000)
 		case "rewrite-share":
 			err = number(e, &o.RewriteShare, 0.001, 0.5)
 		default:
@@ -188,6 +193,19 @@
 	return nil
 }
 
+func whole(e Expr, to *int, least, most int) error {
+	v, err := value(e)
+	if err != nil {
+		return err
+	}
+	n, err := strconv.Atoi(v.Atom)
+	if err != nil || v.Quoted || n < least || n > most {
+		return errorAt(v.Pos, "%s must be a whole number from %d to %d", e.List[0].Atom, least, most)
+	}
+	*to = n
+	return nil
+}
+
 func span(e Expr, to *time.Duration, least, most time.Duration) error {
 	v, err := value(e)
 	if err != nil {
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -20,12 +20,12 @@
 
 func TestOperatorSettings(t *testing.T) {
 	p := platform(t)
-	o, err := ParseOperator("; ours\n(eiderhitch (headroom 1.5) (evict-after 5s) (spot no) (right-ttl 6s)\n (class \"feed\" (headroom 2)) (idle-boots 1) (boot-patience 3)\n (feature-levels yes) (finalize-after 10m) (rewrite-share 0.2))", p)
+	o, err := ParseOperator("; ours\n(eiderhitch (headroom 1.5) (evict-after 5s) (spot no) (right-ttl 6s)\n (class \"feed\" (headroom 2)) (idle-boots 1) (boot-patience 3)\n (feature-levels yes) (highest-level 1) (finalize-after 10m) (rewrite-share 0.2))", p)
 	if err != nil {
 		t.Fatal(err)
 	}
 	want := &Operator{IdleBoots: 1, Headroom: 1.5, ClassHeadroom: map[string]float64{"feed": 2}, EvictAfter: 5 * time.Second, BootPatience: 3, RightTTL: 6 * time.Second,
-		FeatureLevels: true, FinalizeAfter: 10 * time.Minute, RewriteShare: 0.2}
+		FeatureLevels: true, HighestLevel: 1, FinalizeAfter: 10 * time.Minute, RewriteShare: 0.2}
 	if d := cmp.Diff(want, o); d != "" {
 		t.Error(d)
 	}
@@ -59,6 +59,8 @@
 		"(eiderhitch (class \"é\" (spot no)))": "1:24: unknown setting \"spot\" of a class",
 		"(eiderhitch (feature-levels 2))":      "1:29: feature-levels must be yes or no",
 		"(eiderhitch (feature-level yes))":     "1:14: unknown setting \"feature-level\"",
+		"(eiderhitch (highest-level 0))":       "1:28: highest-level must be a whole number",
+		"(eiderhitch (highest-level 1.5))":     "1:28: highest-level must be a whole number",
 		"(eiderhitch (finalize-after 0s))":     "1:29: finalize-after must be a time",
 		"(eiderhitch (finalize-after -5m))":    "1:29: finalize-after must be a time",
 		"(eiderhitch (rewrite-share 0))":       "1:28: rewrite-share must be a number",
--- a/internal/controller/levels.go
+++ b/internal/controller/levels.go
@@ -37,7 +37,11 @@
 func newLevels(cfg *config.Platform, op *config.Operator) levels {
 	s := &cfg.Settings
 	perSecond := s.State.WriteRPS * op.RewriteShare / float64(s.Count)
-	return levels{supported: rollout.Supported, state: rollout.Initial, keys: rollout.Initial.Keys(),
+	supported := rollout.Supported
+	if op.HighestLevel > 0 {
+		supported.High = min(supported.High, rollout.Level(op.HighestLevel))
+	}
+	return levels{supported: supported, state: rollout.Initial, keys: rollout.Initial.Keys(),
 		controllers: map[string]rollout.Registered{}, forms: map[record.Form]int{}, unreadable: map[string]bool{},
 		rewrites: rate.NewLimiter(rate.Limit(perSecond), 1)}
 }
--- a/internal/controller/levels_test.go
+++ b/internal/controller/levels_test.go
@@ -6,11 +6,13 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"eiderhitch/internal/config"
+	"eiderhitch/internal/mesh"
 	"eiderhitch/internal/record"
 	"eiderhitch/internal/rollout"
 	"eiderhitch/internal/standin"
@@ -329,3 +331,36 @@
 		c.await("they serve again", 20*time.Second, func() bool { return c.nodes[0].brain.Ready() && c.holdsRight(0) })
 	})
 }
+
+// Each sibling is sent frames of a version that it reads: the checked one where the level
+// is active and the sibling's present process has said so, the plain one else.
+func TestFramesOfMixedLevels(t *testing.T) {
+	inUpgrade(t, func(c *cluster) {
+		var mu sync.Mutex
+		last := map[string]mesh.Version{}
+		c.onFrame = func(from, to string, version mesh.Version) {
+			mu.Lock()
+			defer mu.Unlock()
+			last[from+to] = version
+		}
+		sent := func(want map[string]mesh.Version) {
+			t.Helper()
+			time.Sleep(3 * time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			for path, version := range want {
+				if last[path] != version {
+					t.Errorf("%s: version %d, not %d", path, last[path], version)
+				}
+			}
+		}
+		c.awaitLevel(1, rollout.Activated, 10*time.Second)
+		sent(map[string]mesh.Version{"n0n1": mesh.Checked, "n1n0": mesh.Checked, "n2n1": mesh.Checked})
+		c.replace(1, nil)
+		sent(map[string]mesh.Version{"n0n1": mesh.Plain, "n1n0": mesh.Plain, "n0n2": mesh.Checked, "n2n1": mesh.Plain})
+		c.replace(1, &baseOnly)
+		sent(map[string]mesh.Version{"n0n1": mesh.Plain, "n0n2": mesh.Plain}) // the level is not active any more
+		c.replace(1, &rollout.Supported)
+		sent(map[string]mesh.Version{"n0n1": mesh.Checked, "n1n2": mesh.Checked})
+	})
+}
--- a/internal/controller/processes_test.go
+++ b/internal/controller/processes_test.go
@@ -31,6 +31,7 @@
 	*cluster
 	dir       string
 	running   []*exec.Cmd
+	used      []time.Duration // processor time of those that have ended, by controller
 	mu        sync.Mutex
 	listeners map[string]net.Listener
 	logs      *os.File
@@ -145,7 +146,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	dir := t.TempDir()
-	p := &processes{cluster: &cluster{t: t, ctx: ctx}, dir: dir, listeners: map[string]net.Listener{}, running: make([]*exec.Cmd, 3)}
+	p := &processes{cluster: &cluster{t: t, ctx: ctx}, dir: dir, listeners: map[string]net.Listener{}, running: make([]*exec.Cmd, 3), used: make([]time.Duration, 3)}
 	logs, err := os.Create(filepath.Join(os.TempDir(), "eiderhitch-processes.log"))
 	if err != nil {
 		t.Fatal(err)
@@ -196,11 +197,16 @@
 	return p
 }
 
+// settings is the file that the platform hands to a controller.
+func (p *processes) settings(i int) string {
+	return filepath.Join(p.dir, p.nodes[i].cfg.Name+".toml")
+}
+
 // run starts a controller's process.
-func (p *processes) run(i int, program string) {
+func (p *processes) run(i int, program string, more ...string) {
 	p.t.Helper()
 	p.end(i)
-	cmd := exec.Command(program, "--config", filepath.Join(p.dir, p.nodes[i].cfg.Name+".toml"))
+	cmd := exec.Command(program, append(more, "--config", p.settings(i))...)
 	cmd.Env = append(os.Environ(), "LOG_LEVEL=debug")
 	cmd.Stderr = p.logs
 	if err := cmd.Start(); err != nil {
@@ -214,6 +220,7 @@
 	if cmd := p.running[i]; cmd != nil {
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
+		p.used[i] += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 		p.running[i] = nil
 	}
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -37,6 +37,8 @@
 	foreign map[string]bool
 	// boots are the ranges of the versions that processes were of, by what they drew.
 	boots map[string]rollout.Range
+	// onFrame is told of each frame between controllers; nil: nobody is.
+	onFrame func(from, to string, version mesh.Version)
 	// upgrades: the controllers take part in staged upgrades.
 	upgrades bool
 	// looks: until then users ask everywhere as soon as they were told something.
@@ -177,6 +179,9 @@
 			if o.cfg.Name != sibling || to == nil || cut {
 				continue
 			}
+			if c.onFrame != nil {
+				c.onFrame(n.cfg.Name, sibling, mesh.Version(frame[2]))
+			}
 			if o.unaware && mesh.Version(frame[2]) != mesh.Plain {
 				continue // refused by name
 			}
