4,000 machines: a fleet on fake time, frames, steps; lost services wait for the queue

Need: no fixed limit below 4,000 machines. Found by a test: 6,184 services' tasks lost at once by one owner were more than the queue for early changes held (1,024); each refused write gave its claims up and had all be read again. What can wait now stays out of a queue that is three quarters full.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -121,7 +121,7 @@
 }
 
 func BenchmarkLeadStep(b *testing.B) {
-	for _, n := range []int{50, 500, 2000} {
+	for _, n := range []int{50, 500, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := crowded(b, n)
 			for b.Loop() {
@@ -133,7 +133,7 @@
 }
 
 func BenchmarkStepPart(b *testing.B) {
-	for _, n := range []int{50, 500, 2000} {
+	for _, n := range []int{50, 500, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := crowded(b, n)
 			for b.Loop() {
--- a/internal/controller/bindings.go
+++ b/internal/controller/bindings.go
@@ -67,6 +67,11 @@
 	if !update.large && b.updateWaits(r, &update) {
 		return
 	}
+	// Thousands of tasks that are lost together are more than may queue. A write that is
+	// refused gives up its claims and has all be read again; what waits loses nothing.
+	if b.wr.Full(r.job.spec.Whole()) {
+		return
+	}
 	r.endedAt, r.boundAt = time.Time{}, time.Time{}
 	b.writeUpdate(p, r, &update)
 }
--- /dev/null
+++ b/internal/controller/fleet_size_test.go
@@ -0,0 +1,101 @@
+package controller
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"eiderhitch/internal/standin"
+	"eiderhitch/internal/wire"
+)
+
+// fleetSize is how many machines the fleet has that is brought up, loses its leader and
+// falls silent; more take longer.
+var fleetSize = flag.Int("fleet", 400, "machines of the large fleet")
+
+// fleetSilence is for how long it falls silent; a lease is 50 s.
+var fleetSilence = flag.Duration("fleet-silence", 20*time.Second, "how long the large fleet falls silent")
+
+// setUpFleet gives a node the settings of a large deployment.
+func setUpFleet(n *node) {
+	s := &n.cfg.Settings
+	s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = 10, 50, 110
+	s.State.RPS, s.State.WriteRPS = 1000, 300
+	s.Cloud.RPS = 12
+	s.Limits.MaxSockets = 8000
+}
+
+// A fleet of thousands of machines comes up for an array and services, loses its leader,
+// and falls silent as a whole for a while: nothing is lost, no queue overflows, and no
+// message is beyond its limit (the stand-ins refuse those).
+func TestLargeFleet(t *testing.T) {
+	for _, controllers := range []int{3, 5} {
+		t.Run(fmt.Sprint(controllers, " controllers"), func(t *testing.T) {
+			inCluster(t, controllers, setUpFleet, func(c *cluster) { c.playFleet(*fleetSize) })
+		})
+	}
+}
+
+func (c *cluster) playFleet(machines int) {
+	w := c.world
+	w.ReportS, w.LeaseS, w.CancelS = 10, 50, 110
+	w.Cloud.SetCapacity(machines)
+	// Each task takes a whole small machine.
+	array := jobBody("wk-1", wire.Array, "blue", "normal", machines, 4, 200)
+	array["hulls"] = []string{"small"}
+	c.submit(array)
+	c.await("the fleet is up and busy", 15*time.Minute, func() bool { return w.Running("wk-1")+w.Finished("wk-1") >= machines*9/10 })
+	c.submit(jobBody("wk-2", wire.Service, "blue", "urgent", 20, 2, 0))
+	c.await("services have room made for them", 2*time.Minute, func() bool { return w.Running("wk-2") == 20 })
+	leader := (&scene{cluster: c}).nodesOf(leading)[0]
+	c.kill(leader)
+	time.Sleep(15 * time.Second)
+	c.start(leader)
+	time.Sleep(10 * time.Second)
+	for _, k := range w.Cloud.Workers() {
+		k.SetCut(true)
+	}
+	time.Sleep(*fleetSilence)
+	for _, k := range w.Cloud.Workers() {
+		k.SetCut(false)
+	}
+	w.SetQuiet()
+	c.await("the array is done", 40*time.Minute, func() bool { return c.state("wk-1") == wire.Done })
+	c.await("the services run", 2*time.Minute, func() bool { return w.Running("wk-2") == 20 })
+	if status, _ := c.ask(0, standin.Poll, "wk-1", nil, nil); status != 200 {
+		c.t.Errorf("a poll is answered %d", status)
+	}
+}
+
+// When thousands of services are lost at once there is more to store than may queue: the
+// rest waits for its turn, and what waits is neither refused nor given up.
+func TestMassLossFitsTheQueue(t *testing.T) {
+	const machines = 4000
+	b := crowded(t, machines)
+	var log bytes.Buffer
+	b.log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelError}))
+	p := b.parts[0]
+	for _, m := range p.machines {
+		m.gone = true
+		b.endAll(m, "test")
+	}
+	lost := len(b.outcomes)
+	for range 3 {
+		b.stepPart(p)
+	}
+	if lost < 5000 || log.Len() > 0 {
+		t.Errorf("%d tasks are lost: %s", lost, log.String()[:min(log.Len(), 300)])
+	}
+	waiting := 0
+	for _, r := range p.recs {
+		if !r.writing && r.dirty {
+			waiting++
+		}
+	}
+	if waiting == 0 || len(b.outcomes) != lost {
+		t.Errorf("%d records wait, %d of %d ends are remembered", waiting, len(b.outcomes), lost)
+	}
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -76,32 +76,16 @@
 
 // inWorldWith is inWorld with nodes that are set up otherwise.
 func inWorldWith(t *testing.T, setUp func(*node), f func(c *cluster)) {
+	inCluster(t, 3, setUp, f)
+}
+
+// inCluster is inWorldWith with that many controllers.
+func inCluster(t *testing.T, controllers int, setUp func(*node), f func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		names, addrs := []string{"n0", "n1", "n2"}, []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
-		w := standin.NewWorld(ctx, names, addrs, testTypes)
-		c := &cluster{t: t, ctx: ctx, world: w, user: w.Net()}
-		for i, name := range names {
-			cfg := &config.Platform{Name: name, Zone: "a", APIAddr: addrs[i]}
-			for k, other := range names {
-				if k != i {
-					cfg.Siblings = append(cfg.Siblings, config.Sibling{Name: other, Addr: addrs[k]})
-				}
-			}
-			cfg.External.State, cfg.External.Cloud = "state:1", "cloud:1"
-			s := &cfg.Settings
-			s.Count, s.Zones = 3, []string{"a", "b"}
-			s.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 24}, {Name: "blue"}}
-			s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = w.ReportS, w.LeaseS, w.CancelS
-			s.Workers.GangWaitS, s.Workers.GangPeerS = w.GangWaitS, w.GangPeerS
-			s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 250, 60, 8, 32
-			s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
-			n := &node{cfg: cfg, net: w.Net()}
+		c := newCluster(ctx, t, controllers)
+		for i, n := range c.nodes {
 			setUp(n)
-			c.nodes = append(c.nodes, n)
-		}
-		w.SetLimit("red", 24)
-		for i := range c.nodes {
 			c.start(i)
 			time.Sleep(137 * time.Microsecond) // their ticks are not at one time
 		}
@@ -113,19 +97,55 @@
 			time.Sleep(time.Minute) // whatever still waits ends on the bubble's clock
 		}()
 		f(c)
-		for i := range c.nodes {
-			c.checkClaims(i)
-		}
-		for _, b := range w.Breaches() {
-			t.Error(b)
-		}
-		c.checkStored()
-		if w.State.Excess > 0 {
-			t.Errorf("%d transactions were beyond the limits", w.State.Excess)
-		}
+		c.checkAll()
 	})
 }
 
+// checkAll checks that no rule and no limit of the state service was broken.
+func (c *cluster) checkAll() {
+	c.t.Helper()
+	for i := range c.nodes {
+		c.checkClaims(i)
+	}
+	for _, b := range c.world.Breaches() {
+		c.t.Error(b)
+	}
+	c.checkStored()
+	if c.world.State.Excess > 0 {
+		c.t.Errorf("%d transactions were beyond the limits", c.world.State.Excess)
+	}
+}
+
+// newCluster is a cluster of which no controller runs yet.
+func newCluster(ctx context.Context, t *testing.T, controllers int) *cluster {
+	var names, addrs []string
+	for i := range controllers {
+		names = append(names, fmt.Sprintf("n%d", i))
+		addrs = append(addrs, fmt.Sprintf("10.0.0.%d:80", i+1))
+	}
+	w := standin.NewWorld(ctx, names, addrs, testTypes)
+	c := &cluster{t: t, ctx: ctx, world: w, user: w.Net()}
+	for i, name := range names {
+		cfg := &config.Platform{Name: name, Zone: "a", APIAddr: addrs[i]}
+		for k, other := range names {
+			if k != i {
+				cfg.Siblings = append(cfg.Siblings, config.Sibling{Name: other, Addr: addrs[k]})
+			}
+		}
+		cfg.External.State, cfg.External.Cloud = "state:1", "cloud:1"
+		s := &cfg.Settings
+		s.Count, s.Zones = controllers, []string{"a", "b"}
+		s.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 24}, {Name: "blue"}}
+		s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = w.ReportS, w.LeaseS, w.CancelS
+		s.Workers.GangWaitS, s.Workers.GangPeerS = w.GangWaitS, w.GangPeerS
+		s.State.RPS, s.State.WriteRPS, s.State.ValueKB, s.State.TxnOps = 250, 60, 8, 32
+		s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
+		c.nodes = append(c.nodes, &node{cfg: cfg, net: w.Net()})
+	}
+	w.SetLimit("red", 24)
+	return c
+}
+
 // checkClaims looks into a controller: its cells are consistent, and everything
 // that holds one is a task of a record.
 func (c *cluster) checkClaims(i int) {
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -82,6 +82,19 @@
 	return time.Duration(float64(w.backlog.Load()) / w.pace.rate() * float64(time.Second))
 }
 
+// fullShare is the part of a queue from which on units that can wait should.
+const fullShare = 0.75
+
+// Full tells whether units that can wait should not be submitted now: the rest of the
+// queue is for those that can't.
+func (w *Writer) Full(early bool) bool {
+	q := w.usual
+	if early {
+		q = w.early
+	}
+	return float64(len(q)) >= fullShare*float64(cap(q))
+}
+
 // settle reports a unit's outcome.
 func (w *Writer) settle(u *Unit, revision uint64, err error) {
 	w.backlog.Add(-int64(len(u.Then)))
