Gangs beside services: machines are lent with the services that run on them

Change: after 30 s machines are lent with their services, where nothing but services runs on them, none has been told anything that may still be under way, and all were bound before the machine was chosen; they are handed back the same way. Ruled out: lending to a partition other than the leader's (needs a field in the lending record), moving the services.

--- a/internal/controller/gang_room_test.go
+++ b/internal/controller/gang_room_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -119,3 +120,115 @@
 		t.Errorf("%d claims are left", len(p.alloc))
 	}
 }
+
+// besideServices plays a gang for which there is room only on machines of several
+// partitions, beside services that stay there, until it is placed.
+func besideServices(t *testing.T, then func(c *cluster)) {
+	inWorld(t, func(c *cluster) {
+		c.world.Cloud.SetCapacity(3)
+		for n := range 3 {
+			service := jobBody(fmt.Sprint("wk-", n+1), wire.Service, "blue", "urgent", 1, 10, 0)
+			service["hulls"] = []string{"large"}
+			c.submit(service)
+		}
+		c.await("a service runs on each machine", time.Minute, func() bool { return c.serving() == 3 })
+		parts := map[int]bool{}
+		for _, w := range c.world.Cloud.Workers() {
+			parts[partOf(w.Name(), 3)] = true
+		}
+		if len(parts) < 2 {
+			t.Fatal("all machines are in one partition")
+		}
+		c.world.SetQuiet()
+		gang := gangBody("wk-4", "blue", "normal", 9, 20)
+		gang["cpus"], gang["hulls"] = 2, []string{"large"}
+		c.submit(gang)
+		c.await("the gang runs", time.Minute, func() bool { return c.world.Running("wk-4") == 9 })
+		then(c)
+	})
+}
+
+// serving is how many of the three services run.
+func (c *cluster) serving() int {
+	return c.world.Running("wk-1") + c.world.Running("wk-2") + c.world.Running("wk-3")
+}
+
+// A gang must not wait for ever beside room that is spread over partitions: the machines are
+// lent with their services, which run on, and handed back with them.
+func TestGangBesideServicesOfSeveralPartitions(t *testing.T) {
+	besideServices(t, func(c *cluster) {
+		starts := c.world.Starts()
+		c.awaitDone("wk-4", time.Minute)
+		c.await("the machines are handed back", time.Minute, func() bool { return len(c.world.State.Keys(preLend)) == 0 })
+		time.Sleep(15 * time.Second)
+		if c.serving() != 3 || c.world.Starts() != starts {
+			t.Errorf("%d of 3 services run, %d starts since the gang began", c.serving(), c.world.Starts()-starts)
+		}
+		c.abort("wk-1")
+		c.await("a cancelled service is gone", 30*time.Second, func() bool { return c.world.Running("wk-1") == 0 })
+	})
+}
+
+// Services on lent machines are cancelled, lost and proven gone like any others, and their
+// records cleared up, also across a change of leader.
+func TestServicesOnLentMachines(t *testing.T) {
+	besideServices(t, func(c *cluster) {
+		c.abort("wk-1")
+		c.await("a cancelled service is gone", 30*time.Second, func() bool { return c.world.Running("wk-1") == 0 })
+		c.await("its record is cleared up", 30*time.Second, func() bool { return len(c.world.State.Keys(groupKey("wk-1", 0))) == 0 })
+		leader := (&scene{cluster: c}).nodesOf(leading)[0]
+		c.kill(leader)
+		time.Sleep(9 * time.Second)
+		c.start(leader)
+		if n := c.world.Running("wk-2") + c.world.Running("wk-3"); n != 2 {
+			c.t.Errorf("%d of 2 services run after a change of leader", n)
+		}
+		for _, w := range c.world.Cloud.Workers() {
+			if w.StateOf("wk-2/0") != "" {
+				w.Die()
+			}
+		}
+		c.await("a lost service runs again", 2*time.Minute, func() bool { return c.world.Running("wk-2") == 1 })
+		c.awaitDone("wk-4", 3*time.Minute)
+		c.await("nothing stays lent", 2*time.Minute, func() bool { return len(c.world.State.Keys(preLend)) == 0 })
+	})
+}
+
+// What runs on a machine and is no service, or has just been told something, keeps it from
+// changing hands.
+func TestOnlyServices(t *testing.T) {
+	b := crowded(t, 50)
+	p := b.parts[0]
+	var m *machine
+	for _, x := range p.machines {
+		if len(x.bound) > 0 && x.bound[0].rec.job.spec.Service {
+			m = x
+		}
+	}
+	m.token = p.term
+	for _, x := range m.bound {
+		e := x.rec.find(x.task.Num)
+		m.tasks = append(m.tasks, wire.TaskReport{Task: taskName(x.rec.job.id, e.num), Attempt: e.attempt, State: wire.Running})
+	}
+	if !b.onlyServes(m, p) {
+		t.Fatal("services that run keep a machine")
+	}
+	spec := m.bound[0].rec.job.spec
+	for name, change := range map[string]struct{ do, undo func() }{
+		"a command without an answer": {func() { m.openDo = p.term }, func() { m.openDo = 0 }},
+		"a command on its way":        {func() { m.doBusy = true }, func() { m.doBusy = false }},
+		"a start in an answer":        {func() { m.respOpen = true }, func() { m.respOpen = false }},
+		"an older token":              {func() { m.token-- }, func() { m.token++ }},
+		"a task that is no service":   {func() { spec.Service = false }, func() { spec.Service = true }},
+		"a job that is cancelled":     {func() { m.bound[0].rec.job.fate = cancelled }, func() { m.bound[0].rec.job.fate = live }},
+		"a record on its way":         {func() { m.bound[0].rec.writing = true }, func() { m.bound[0].rec.writing = false }},
+		"a task that fetches":         {func() { m.tasks[0].State = wire.Fetching }, func() { m.tasks[0].State = wire.Running }},
+		"an earlier session":          {func() { m.session++ }, func() { m.session-- }},
+	} {
+		change.do()
+		if b.onlyServes(m, p) {
+			t.Errorf("%s does not keep it", name)
+		}
+		change.undo()
+	}
+}
--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -25,6 +25,7 @@
 type lend struct {
 	record.Loan
 	stamp   uint64
+	lentAt  uint64 // version of the write that lent it, as far as that was seen
 	writing bool
 	leaving bool // it is being handed back: nothing is placed on it any more
 	since   time.Time
@@ -49,7 +50,7 @@
 	m := b.machine(name)
 	l := b.lends[name]
 	if l == nil {
-		l = &lend{since: b.now}
+		l = &lend{since: b.now, lentAt: stamp}
 		b.lends[name] = l
 	}
 	l.Loan, l.stamp = *v, stamp
@@ -78,18 +79,24 @@
 	m.home, m.homeAt = now, b.now
 	b.enlist(m)
 	if p.term != 0 {
+		for _, x := range m.bound { // services that go along
+			b.freeCell(p, x.task)
+		}
 		p.cells.DropMachine(m.idx)
 	}
+	for _, x := range m.bound {
+		b.adopt(x.rec)
+	}
 	b.step()
 	return true
 }
 
 // acknowledge hands over machines of a part of ours on which nothing is bound
-// or about to be.
+// or about to be, apart from services that go along.
 func (b *brain) acknowledge(p *part) {
 	for _, name := range b.lentNames() {
 		l, m := b.lends[name], b.machine(name)
-		if l.Ack || l.writing || m.hash != p.n || len(m.bound) > 0 {
+		if l.Ack || l.writing || m.hash != p.n || len(m.bound) > 0 && !b.goAlong(l, m, p) {
 			continue
 		}
 		if p.claimed(m) {
@@ -105,6 +112,47 @@
 	}
 }
 
+// goAlong tells whether all that is bound to a machine is services that go with it to the
+// leader's part: they stay, and were there before the machine was chosen.
+func (b *brain) goAlong(l *lend, m *machine, p *part) bool {
+	if l.Job == poolJob || !b.onlyServes(m, p) {
+		return false
+	}
+	for _, x := range m.bound {
+		if x.rec.stamp > l.lentAt || l.claim(b).Evicts(x.rec.claim()) {
+			return false
+		}
+	}
+	return true
+}
+
+// onlyServes tells whether all that is bound to a machine of ours is services that run, and
+// no command of ours can still be under way there. Such a machine may change hands with
+// them: whatever ends them later is proven, and stored, as after any take-over.
+func (b *brain) onlyServes(m *machine, p *part) bool {
+	if !b.up(m, p) || m.token != p.term || m.openDo == p.term || m.doBusy || m.doStart || m.respOpen {
+		return false
+	}
+	for _, x := range m.bound {
+		r := x.rec
+		if r.job.spec == nil || !r.job.spec.Service || r.job.fate != live || r.writing {
+			return false
+		}
+		e, cell := r.find(x.task.Num), p.cells.CellOf(x.task)
+		if e == nil || cell == nil || cell.State != core.Used || !m.runs(taskName(r.job.id, e.num), e) {
+			return false
+		}
+	}
+	return true
+}
+
+// runs tells whether a machine's newest report shows an attempt running.
+func (m *machine) runs(task string, e *entry) bool {
+	return slices.ContainsFunc(m.tasks, func(t wire.TaskReport) bool {
+		return t.Task == task && t.Attempt == e.attempt && t.State == wire.Running && e.session == m.session
+	})
+}
+
 // lentFor tells whether machines are lent, or being lent, for a job.
 func (b *brain) lentFor(j *job) bool {
 	for _, l := range b.lends {
@@ -151,7 +199,9 @@
 		chosen = append(chosen, h)
 	}
 	if coming < n || len(chosen) == 0 {
-		return false
+		if chosen = b.besideServices(hosts, j, zone, n); len(chosen) == 0 {
+			return false
+		}
 	}
 	// As many as one change can be; the others follow in the next steps.
 	chosen = chosen[:min(len(chosen), b.cfg.Settings.State.TxnOps)]
@@ -160,6 +210,48 @@
 	return true
 }
 
+// besideAfter is how long a group waits for room until machines are borrowed with the
+// services on them: before that others may well come free.
+const besideAfter = 30 * time.Second
+
+// besideServices are machines that together have room for a group beside services that
+// stay. They are in several parts, or the group would be dealt to one: it waited for ever
+// beside room, since no machine with a service was lent.
+func (b *brain) besideServices(hosts []*core.Host, j *job, zone string, n int) []*core.Host {
+	if b.now.Sub(j.at) < besideAfter {
+		return nil
+	}
+	var can []*core.Host
+	coming := 0
+	for _, h := range hosts {
+		fits := h.Free.Fits(j.need, n)
+		if h.Booting || fits == 0 || b.lead.closing[b.byIdx[h.ID].name] || !allowed(j.spec, zone, h.Type, h.Zone, h.Spot) {
+			continue
+		}
+		switch {
+		case h.Part == b.lentPart():
+			coming += fits
+		case !h.Touched:
+			can = append(can, h)
+		}
+	}
+	slices.SortFunc(can, func(x, y *core.Host) int {
+		return cmp.Or(cmp.Compare(y.Free.Fits(j.need, n), x.Free.Fits(j.need, n)), cmp.Compare(x.ID, y.ID))
+	})
+	var chosen []*core.Host
+	for _, h := range can {
+		if coming >= n {
+			break
+		}
+		coming += h.Free.Fits(j.need, n)
+		chosen = append(chosen, h)
+	}
+	if coming < n {
+		return nil
+	}
+	return chosen
+}
+
 // roomComing is for how many of n tasks of a job there is room in the leader's part, or
 // will be once the machines that are being lent for it have come.
 func (b *brain) roomComing(hosts []*core.Host, j *job, zone string, n int) int {
@@ -179,11 +271,22 @@
 		if l.Job != j.id || listed[m.idx] || t == nil || !allowed(j.spec, zone, m.typ, m.zone, m.spot) {
 			continue
 		}
-		room += core.Amount(t.CPUs, t.GPUs, t.RAM).Fits(j.need, n)
+		room += core.Amount(t.CPUs, t.GPUs, t.RAM).Minus(m.serving()).Fits(j.need, n)
 	}
 	return room
 }
 
+// serving is what services have of a machine.
+func (m *machine) serving() core.Res {
+	var use core.Res
+	for _, x := range m.bound {
+		if spec := x.rec.job.spec; spec != nil && spec.Service {
+			use = use.Plus(x.rec.job.need)
+		}
+	}
+	return use
+}
+
 // borrowMachines lends machines to the leader's part, if the parts that they are in have
 // not changed hands meanwhile.
 func (b *brain) borrowMachines(chosen []*core.Host, cond []wire.Condition, v record.Loan) {
@@ -215,7 +318,9 @@
 		}
 		// What has claimed a cell there may be bound any moment: handed back meanwhile, the
 		// machine was its former owner's and the binding ours, and neither could end it.
-		if l.writing || l.Ack && (len(m.bound) > 0 || p.claimed(m)) {
+		// Services that were lent with it, or came since, go back with it.
+		stays := len(m.bound) > 0 && (l.Job == poolJob || !b.onlyServes(m, p))
+		if l.writing || l.Ack && (stays || p.claimed(m)) {
 			continue
 		}
 		if l.Job == poolJob {
--- a/internal/controller/levels_processes_test.go
+++ b/internal/controller/levels_processes_test.go
@@ -16,6 +16,7 @@
 
 	"eiderhitch/internal/record"
 	"eiderhitch/internal/rollout"
+	"eiderhitch/internal/standin"
 	"eiderhitch/internal/wire"
 )
 
@@ -91,7 +92,7 @@
 		_ = f.delays[f.phase].RecordValue(time.Since(begun).Milliseconds())
 		f.mu.Unlock()
 		if n%8 == 0 && n >= 24 { // few services run at a time
-			go f.tryAbort(fmt.Sprintf("wk-%d%05d", round+1, n-24))
+			go f.call(standin.Cancel, fmt.Sprintf("wk-%d%05d", round+1, n-24), nil, nil, 20*time.Second)
 		}
 	}
 }
