--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -268,17 +268,9 @@
 		return
 	}
 	s.Largest = max(s.Largest, len(t.Then))
-	if s.WriteRPS > 0 {
-		now := time.Now()
-		s.bucket = min(s.WriteRPS, s.bucket+now.Sub(s.filled).Seconds()*s.WriteRPS)
-		s.filled = now
-		if s.bucket < float64(len(t.Then)) {
-			s.Refused++
-			reply(w, http.StatusTooManyRequests, struct{}{})
-			return
-		}
-		s.bucket -= float64(len(t.Then))
-		s.Taken++
+	if !s.admit(len(t.Then)) {
+		reply(w, http.StatusTooManyRequests, struct{}{})
+		return
 	}
 	for _, c := range t.Then {
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
@@ -315,6 +307,23 @@
 	reply(w, http.StatusOK, ans)
 }
 
+// admit tells whether the limit of changes a second allows some more, and counts them.
+func (s *State) admit(changes int) bool {
+	if s.WriteRPS <= 0 {
+		return true
+	}
+	now := time.Now()
+	s.bucket = min(s.WriteRPS, s.bucket+now.Sub(s.filled).Seconds()*s.WriteRPS)
+	s.filled = now
+	if s.bucket < float64(changes) {
+		s.Refused++
+		return false
+	}
+	s.bucket -= float64(changes)
+	s.Taken++
+	return true
+}
+
 func (s *State) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
