--- a/internal/controller/fleet_size_test.go
+++ b/internal/controller/fleet_size_test.go
@@ -32,8 +32,10 @@
 // and falls silent as a whole for a while: nothing is lost, no queue overflows, and no
 // message is beyond its limit (the stand-ins refuse those).
 func TestLargeFleet(t *testing.T) {
+	t.Parallel()
 	for _, controllers := range []int{3, 5} {
 		t.Run(fmt.Sprint(controllers, " controllers"), func(t *testing.T) {
+			t.Parallel()
 			inCluster(t, controllers, setUpFleet, func(c *cluster) { c.playFleet(*fleetSize) })
 		})
 	}
--- a/internal/controller/levels_processes_test.go
+++ b/internal/controller/levels_processes_test.go
@@ -140,6 +140,7 @@
 // switch; old ones come back in between. No job is lost, no task placed twice, no answer
 // older than an earlier one: the rule checker judges by what users and workers saw.
 func TestUpgradeOfRealProcesses(t *testing.T) {
+	t.Parallel()
 	bin := t.TempDir()
 	today := filepath.Join(bin, "today")
 	build(t, "", today)
--- a/internal/controller/levels_rows_test.go
+++ b/internal/controller/levels_rows_test.go
@@ -16,6 +16,7 @@
 // rule checker, and no record may ever be stored in a form that the level in force at that
 // moment does not allow.
 func TestUpgradesMeetTroubles(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		name   string
 		faults []fault
@@ -41,6 +42,7 @@
 		{"machines die and are cut while rights change keys", []fault{{at: 5, what: "cut", who: 3, duration: 25}, {at: 5, what: "die", who: 2}, {at: 5.1, what: "finalize"}, {at: 20, what: "deaf", who: 3, duration: 20}, {at: 21, what: "abort"}, {at: 30, what: "cancel", who: 4}}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
 			inUpgrade(t, func(c *cluster) {
 				c.play(7, 12, x.faults)
 				c.settleUpgrade()
@@ -75,6 +77,7 @@
 // Generated schedules of upgrades, of controllers that come back as other versions, and
 // of troubles.
 func TestGeneratedUpgradeSchedules(t *testing.T) {
+	t.Parallel()
 	steps := []fault{{what: "finalize"}, {what: "finalize"}, {what: "abort"}, {what: "finalize and abort"}, {what: "old comes", duration: 12}, {what: "old comes", duration: 12}, {what: "base level comes", duration: 12},
 		{what: "old comes", who: all, duration: 20}}
 	troubles := []fault{{what: "kill", duration: 0.3}, {what: "kill", duration: 6}, {what: "kill", who: all, duration: 0.5}, {what: "kill", who: all, duration: 13}, {what: "outage", duration: 30}, {what: "state refuses", duration: 15},
@@ -82,6 +85,7 @@
 		{what: "no peers", who: all, duration: 30}, {what: "cut", who: 2, duration: 20}, {what: "die", who: 2}, {what: "cancel", who: 3}, {what: "jobs", who: 5}, {what: "gangs", who: 3}, {what: "late commands", who: all, duration: 30, part: 0.3}, {what: "close looks", duration: 30}}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*upgradeCombinations); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			faults := drawUpgrade(seed, steps, troubles)
 			defer func() {
 				if t.Failed() {
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -622,6 +622,7 @@
 // Generated schedules of faults: a seed that breaks a rule prints its schedule, so that
 // it can become a row of TestMeetings.
 func TestCombinations(t *testing.T) {
+	t.Parallel()
 	kinds := []fault{{what: "cloud down", duration: 40}, {what: "no capacity", duration: 60}, {what: "outage", duration: 45}, {what: "state refuses", duration: 20}, {what: "state silent", duration: 15}, {what: "slow state", duration: 30, part: 0.3},
 		{what: "late writes", who: all, duration: 40, part: 0.3}, {what: "lost answers", who: all, duration: 40, part: 0.3}, {what: "late commands", who: all, duration: 30, part: 0.3},
 		{what: "workers silent", duration: 20}, {what: "no peers", duration: 30}, {what: "no peers", who: all, duration: 30}, {what: "alone", duration: 40}, {what: "kill", duration: 0.3}, {what: "kill", duration: 6},
@@ -631,6 +632,7 @@
 		{what: "old copies", duration: 40, part: 0.3}, {what: "jobs", who: 6}, {what: "jobs", who: 6}, {what: "gangs", who: 4}, {what: "gangs", who: 4}, {what: "urgent work", who: 20}, {what: "limits fall"}}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*combinations); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 3))
 			var faults []fault
 			for range 7 + rng.IntN(6) {
--- a/internal/controller/rows_test.go
+++ b/internal/controller/rows_test.go
@@ -13,6 +13,7 @@
 // The meetings that the users have seen rules broken in, as schedules of faults; see
 // docs/meetings.md for the lines of the code that each is about.
 func TestMeetings(t *testing.T) {
+	t.Parallel()
 	const on = 0.0 // seconds at which long faults begin
 	const usualSeed = 7
 	for _, x := range []struct {
@@ -59,7 +60,10 @@
 		{"late stops and starts of gangs", 8, []fault{{on, "gangs", 5, 0, 0}, {on, "late commands", all, 60, 0.6}, {12, "no capacity", 0, 30, 0}, {12, "urgent work", 40, 0, 0}, {30, "gangs", 3, 0, 0}, {32, "cancel", 3, 0, 0}}, 0},
 		{"gangs done and cancelled at once", 6, []fault{{on, "gangs", 6, 0, 0}, {on, "cancel at end", 0, 80, 0.6}, {20, "gangs", 5, 0, 0}, {25, "kill", leading, 5, 0}}, 0},
 	} {
-		t.Run(x.name, func(t *testing.T) { play(t, cmp.Or(x.seed, usualSeed), x.jobs, x.faults) })
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			play(t, cmp.Or(x.seed, usualSeed), x.jobs, x.faults)
+		})
 	}
 }
 
