Upgrade commands reach the state service as controllers do, without a proxy

Cause: tried as a new user would, with an address that nobody has, the command was answered by a proxy of the shell and reported its status.

--- a/cmd/eiderhitch/upgrade.go
+++ b/cmd/eiderhitch/upgrade.go
@@ -77,7 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rollout.Operator{Store: store.NewClient(platform.External.State, http.DefaultTransport), Members: platform.Nodes(),
+	// Straight to the state service, as controllers go: no proxy of the operator's shell.
+	transport := &http.Transport{DisableCompression: true}
+	return &rollout.Operator{Store: store.NewClient(platform.External.State, transport), Members: platform.Nodes(),
 		Partitions: platform.Settings.Count, TransactionChanges: platform.Settings.State.TxnOps}, nil
 }
 
