Lending and receiving of frames in smaller functions; damaged frames are logged as errors

Change: what keeps a machine lent, and the loop of one connection, are functions of their own; behaviour is as before, but that a frame whose checksum does not match is an error in the log, as one of another version is, and not a debug line.

--- a/internal/controller/lend.go
+++ b/internal/controller/lend.go
@@ -323,31 +323,32 @@
 		if l.writing || l.Ack && (stays || p.claimed(m)) {
 			continue
 		}
-		if l.Job == poolJob {
-			if l.Ack && b.poolKeeps(m) || !l.Ack && b.now.Sub(l.since) < poolPatience {
-				continue
-			}
+		if !b.staysLent(l, m, p) {
 			b.handBack(name, l)
-			continue
-		}
-		j := b.jobs[l.Job]
-		needed := j != nil && j.fate == live && j.spec != nil && !m.gone
-		if needed {
-			needed = b.needsLoan(j, p.n) && (m.typ == "" || allowed(j.spec, b.pinned(j), m.typ, m.zone, m.spot))
 		}
-		// An owner that does not let go in time may have higher work there by now.
-		patience := b.lease + 2*config.Seconds(b.cfg.Settings.Workers.ReportS) + 10*time.Second
+	}
+}
+
+// staysLent tells whether a machine is still wanted where it is lent to, and can be had.
+func (b *brain) staysLent(l *lend, m *machine, p *part) bool {
+	if l.Job == poolJob {
+		return l.Ack && b.poolKeeps(m) || !l.Ack && b.now.Sub(l.since) < poolPatience
+	}
+	j := b.jobs[l.Job]
+	if j == nil || j.fate != live || j.spec == nil || m.gone || !b.needsLoan(j, p.n) {
+		return false
+	}
+	if m.typ != "" && !allowed(j.spec, b.pinned(j), m.typ, m.zone, m.spot) {
+		return false
+	}
+	if l.Ack {
 		// One that has not reported since it came died on the way: it is its
 		// owner's again, who finds out what has become of it.
-		waits := b.now.Sub(l.since) < patience
-		if l.Ack {
-			waits = m.heard.After(p.took(m)) || b.now.Sub(p.took(m)) < b.silentAfter()+5*time.Second
-		}
-		if needed && waits {
-			continue
-		}
-		b.handBack(name, l)
+		return m.heard.After(p.took(m)) || b.now.Sub(p.took(m)) < b.silentAfter()+5*time.Second
 	}
+	// An owner that does not let go in time may have higher work there by now.
+	patience := b.lease + 2*config.Seconds(b.cfg.Settings.Workers.ReportS) + 10*time.Second
+	return b.now.Sub(l.since) < patience
 }
 
 // needsLoan tells whether a job has tasks that machines lent to a part are for: some that
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -47,27 +47,32 @@
 		}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			stop := context.AfterFunc(ctx, func() { conn.Close() })
-			defer stop()
-			defer conn.Close()
-			r := bufio.NewReader(conn)
-			for {
-				conn.SetReadDeadline(time.Now().Add(readTimeout))
-				s, err := ReadStatus(r)
-				if err != nil {
-					if errors.Is(err, ErrVersion) {
-						log.Error("sibling refused", "addr", conn.RemoteAddr().String(), "err", err)
-					} else {
-						log.Debug("sibling connection ended", "addr", conn.RemoteAddr().String(), "err", err)
-					}
-					return
-				}
-				deliver(s)
-			}
+			receive(ctx, conn, log, deliver)
 		})
 	}
 }
 
+// receive hands each status of a connection to deliver until that, or ctx, ends.
+func receive(ctx context.Context, conn net.Conn, log *slog.Logger, deliver func(*Status)) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		conn.SetReadDeadline(time.Now().Add(readTimeout))
+		s, err := ReadStatus(r)
+		if errors.Is(err, ErrVersion) || errors.Is(err, ErrChecksum) {
+			log.Error("sibling refused", "addr", conn.RemoteAddr().String(), "err", err)
+			return
+		}
+		if err != nil {
+			log.Debug("sibling connection ended", "addr", conn.RemoteAddr().String(), "err", err)
+			return
+		}
+		deliver(s)
+	}
+}
+
 // Sender keeps a connection to one sibling and sends it the latest status.
 type Sender struct {
 	addr string
