Tests: two operators at once, frames to a killed controller, fail without their guards

Cause: taking the guards out, two tests passed all the same. One changed a transaction's condition rather than the state between reading and writing; the other ended a controller in order, so that its registration ended with it. Both now cause what they name.

--- a/internal/controller/levels_test.go
+++ b/internal/controller/levels_test.go
@@ -356,7 +356,14 @@
 		}
 		c.awaitLevel(1, rollout.Activated, 10*time.Second)
 		sent(map[string]mesh.Version{"n0n1": mesh.Checked, "n1n0": mesh.Checked, "n2n1": mesh.Checked})
+		// It is killed: its registration outlives it.
+		c.nodes[1].net.Judge(func(*http.Request) standin.Fate { return standin.Refuse })
+		c.kill(1)
+		c.nodes[1].net.Judge(nil)
 		c.replace(1, nil)
+		if len(c.world.State.Keys(rollout.ControllerKey("n1"))) != 1 {
+			t.Error("its registration ended with it")
+		}
 		sent(map[string]mesh.Version{"n0n1": mesh.Plain, "n1n0": mesh.Plain, "n0n2": mesh.Checked, "n2n1": mesh.Plain})
 		c.replace(1, &baseOnly)
 		sent(map[string]mesh.Version{"n0n1": mesh.Plain, "n0n2": mesh.Plain}) // the level is not active any more
--- a/internal/rollout/txn_test.go
+++ b/internal/rollout/txn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -187,21 +188,33 @@
 	}
 }
 
+// racing is a state service at which another operator's change comes between a command's
+// reading and its writing.
+type racing struct {
+	*store.Client
+	first func()
+}
+
+// Txn has the other change applied first.
+func (r *racing) Txn(ctx context.Context, t *wire.Txn) (*wire.TxnAnswer, error) {
+	r.first()
+	return r.Client.Txn(ctx, t)
+}
+
 // Of two operators who ask at once one is told that the state has changed.
 func TestTwoOperatorsAtOnce(t *testing.T) {
-	state, c := newStore()
+	_, c := newStore()
 	settled(t, c, State{Level: 1, Phase: Activated})
-	op := &Operator{Store: c, Members: []string{"n0", "n1"}, Partitions: 2, TransactionChanges: 10}
-	once := true
-	state.Before(func(txn *wire.Txn) {
-		if once {
-			once = false
-			txn.If[0].Version-- // as if the other one's change had just been applied
-		}
-	})
+	other := State{Level: 1, Phase: Activated, Wish: WishFinalize}
+	op := &Operator{Members: []string{"n0", "n1"}, Partitions: 2, TransactionChanges: 10}
+	op.Store = &racing{Client: c, first: func() { put(t, c, StateKey, other) }}
 	if _, err := op.Request(t.Context(), WishAbort); !errors.Is(err, ErrChanged) {
 		t.Errorf("the second one is told %v", err)
 	}
+	if now, _, err := op.state(t.Context()); err != nil || now != other {
+		t.Errorf("%+v after the first one's wish: %v", now, err)
+	}
+	op.Store = c
 	if _, err := op.Request(t.Context(), WishAbort); err != nil {
 		t.Errorf("asked again: %v", err)
 	}
