Simulated clusters: a failure leaves its logs and trace; latencies drawn from a seed

A generated schedule that fails once in hundreds of runs told nothing but its schedule. With -failure-dir each failing cluster writes what its controllers logged at all levels and what was seen from outside. -network-seed and -network-jitter draw other latencies, so that a schedule's messages meet in another order. checkPartition also fails for a task that is bound and reserved.

--- a/internal/controller/cluster_checks_test.go
+++ b/internal/controller/cluster_checks_test.go
@@ -1,5 +1,7 @@
 package controller
 
+import "eiderhitch/internal/scheduling"
+
 // checkAll checks that no rule and no limit of the key-value store was broken.
 func (c *cluster) checkAll() {
 	c.t.Helper()
@@ -50,5 +52,15 @@
 		if p.cells.CellOf(t) == nil {
 			c.t.Errorf("node %d partition %d: %v is reserved without a cell", i, p.index, t)
 		}
+		if group := ctl.groups[t.Group]; group != nil && ctl.isBoundAndReserved(group, t) {
+			c.t.Errorf("node %d partition %d: %v is reserved while it is bound", i, p.index, t)
+		}
 	}
 }
+
+// isBoundAndReserved tells whether a task with a reservation has a binding that nobody takes
+// for ended: the reservation would bind it anew as soon as it ends.
+func (c *controller) isBoundAndReserved(group *taskGroup, task scheduling.Task) bool {
+	bound := group.binding(task.Number)
+	return bound != nil && bound.machine != nil && !group.writing && !c.isLost(group, bound)
+}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -4,10 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
-	"log/slog"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,6 +34,8 @@
 	upgrades bool
 	// frameObserver is called with each frame between controllers; nil: nobody is.
 	frameObserver atomic.Pointer[frameObserver]
+	// logs are what the controllers have logged, for the report of a failure.
+	logs *logBuffer
 	// queryAllUntil: until then users ask all controllers as soon as one has answered.
 	queryAllUntil atomic.Pointer[time.Time]
 
@@ -137,6 +136,7 @@
 				c.kill(i)
 			}
 			cancel()
+			c.reportFailure()
 			time.Sleep(time.Minute) // whatever still waits ends on the bubble's clock
 		}()
 		f(c)
@@ -153,7 +153,8 @@
 	}
 	env := simulation.New(ctx, members, testTypes)
 	env.SetQuota("red", 24)
-	c := &cluster{t: t, ctx: ctx, env: env, clientTransport: env.Network.NewTransport(), writtenByTest: map[string]bool{}, readableByProcess: map[string]rollout.Range{}}
+	env.Network.SetLatency(network.Latency{Seed: *networkSeed, Jitter: *networkJitter})
+	c := &cluster{t: t, logs: &logBuffer{}, ctx: ctx, env: env, clientTransport: env.Network.NewTransport(), writtenByTest: map[string]bool{}, readableByProcess: map[string]rollout.Range{}}
 	for i := range members {
 		c.nodes = append(c.nodes, &node{cfg: testPlatform(env, members, i), transport: env.Network.NewTransport(), version: presentVersion})
 	}
@@ -179,16 +180,6 @@
 	return cfg
 }
 
-// testLogger prints everything that controllers log, if a test runs verbosely and asks for
-// it, and nothing otherwise.
-func testLogger() *slog.Logger {
-	out := io.Discard
-	if testing.Verbose() && os.Getenv("LOG_LEVEL") == "debug" {
-		out = os.Stderr
-	}
-	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
-}
-
 // start starts a node's controller, unless it runs.
 func (c *cluster) start(i int) {
 	n := c.nodes[i]
@@ -197,7 +188,7 @@
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	cfg := *n.cfg // tests change the node's settings for its next process
-	ctl := newController(ctx, &cfg, n.operatorSettings(), testLogger(), c.clientsOf(i))
+	ctl := newController(ctx, &cfg, n.operatorSettings(), c.logger(), c.clientsOf(i))
 	ctl.rollout.supported = n.version.supported
 	p := &process{controller: ctl, version: n.version, cancel: cancel, running: &sync.WaitGroup{}}
 	c.noteProcess(p)
--- a/internal/controller/crowded_fleet_test.go
+++ b/internal/controller/crowded_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -70,7 +71,7 @@
 	s.Workers.ReportS, s.Workers.LeaseS, s.Workers.CancelS = 4, 24, 54
 	s.Store.RPS, s.Store.WriteRPS, s.Store.ValueKB, s.Store.TxnOps = 150, 60, 8, 32
 	s.Cloud.RPS, s.Cloud.ListLagS = 6, 3
-	c := newController(ctx, cfg, config.DefaultOperator(), testLogger(), clients{state: silentNetwork{}, cloud: silentNetwork{}, workers: silentNetwork{}, send: func(string, []byte) {}})
+	c := newController(ctx, cfg, config.DefaultOperator(), newTestLogger(io.Discard), clients{state: silentNetwork{}, cloud: silentNetwork{}, workers: silentNetwork{}, send: func(string, []byte) {}})
 	c.replica.Load(nil, 0, &wire.WatchResponse{})
 	c.replica.NoteRead(c.now)
 	c.startedAt = c.now.Add(-time.Hour)
--- a/internal/simulation/network/network.go
+++ b/internal/simulation/network/network.go
@@ -25,12 +25,25 @@
 	mu         sync.Mutex
 	handlers   map[string]http.Handler
 	transports uint64
+	latency    Latency
 }
 
+// Latency is how long requests take that no fault happens to.
+type Latency struct {
+	// Seed draws each request's time: another seed has messages meet in another order.
+	Seed uint64
+	// Jitter is by how much the times differ.
+	Jitter time.Duration
+}
+
+// defaultLatencyJitter keeps any two requests from taking the same time: what happens at
+// different times has an order, which is the same in every run.
+const defaultLatencyJitter = 500 * time.Microsecond
+
 // New returns a network without handlers. Requests that faults keep back are given up when
 // ctx ends.
 func New(ctx context.Context) *Network {
-	return &Network{ctx: ctx, handlers: map[string]http.Handler{}}
+	return &Network{ctx: ctx, handlers: map[string]http.Handler{}, latency: Latency{Jitter: defaultLatencyJitter}}
 }
 
 // Serve puts a handler at an address; nil takes it away.
@@ -43,6 +56,25 @@
 	n.handlers[addr] = h
 }
 
+// SetLatency sets how long requests take from now on.
+func (n *Network) SetLatency(latency Latency) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.latency = latency
+}
+
+// drawLatency is how long a request of a transport takes.
+func (n *Network) drawLatency(transport uint64, request string) time.Duration {
+	n.mu.Lock()
+	latency := n.latency
+	n.mu.Unlock()
+	drawn := Draw(transport+latency.Seed*latencySeedStride, request)
+	return minLatency + time.Duration(drawn*float64(latency.Jitter))
+}
+
+// latencySeedStride keeps the seeds of a network's transports apart from those of another.
+const latencySeedStride = 1 << 20
+
 // NewTransport returns a transport for one caller, so that it alone can be cut off.
 func (n *Network) NewTransport() *Transport {
 	n.mu.Lock()
--- a/internal/simulation/network/transport.go
+++ b/internal/simulation/network/transport.go
@@ -30,8 +30,6 @@
 	defaultDelay = 5 * time.Second
 	// minLatency is the least time that a request takes.
 	minLatency = 2 * time.Millisecond
-	// latencyJitter is by how much the time that requests take differs.
-	latencyJitter = 500 * time.Microsecond
 )
 
 // ErrConnectionRefused is returned for an address that nothing serves.
@@ -97,10 +95,7 @@
 	case Delay:
 		return t.deliverAfter(delay, r, body)
 	}
-	// No two take the same time: what happens at different times has an order, which is
-	// the same in every run.
-	jitter := Draw(t.seed, r.Method+r.URL.String()+string(body)) * float64(latencyJitter)
-	return t.deliverAfter(minLatency+time.Duration(jitter), r, body)
+	return t.deliverAfter(t.network.drawLatency(t.seed, r.Method+r.URL.String()+string(body)), r, body)
 }
 
 // readBody takes over a request's body, as a transport has to.
