controller: a replacement in a gang no longer counts as ended by its predecessor's end

Cause: ends that are not stored yet were known by task and attempt number. A gang's replacement has the number of the attempt that it completes; where the write of an end was carried out and its answer lost, the end outlived its binding and was believed of the replacement's as well. Change: an end names the machine and its incarnation too, and is forgotten when the stored record no longer has the binding that it is of.

--- a/internal/controller/bindings.go
+++ b/internal/controller/bindings.go
@@ -155,7 +155,7 @@
 func (plan *updatePlan) end(bound *binding) (done bool) {
 	task := plan.group.task(bound.task)
 	end, ended := plan.owner.attemptEnds[task]
-	if !ended || bound.machine == nil || end.attempt != bound.attempt {
+	if !ended || bound.machine == nil || end.of != bound.boundAttempt() {
 		return false
 	}
 	plan.update.ended = append(plan.update.ended, endedTask{task, end})
--- a/internal/controller/cells.go
+++ b/internal/controller/cells.go
@@ -42,7 +42,7 @@
 		return
 	}
 	task := group.task(bound.task)
-	if c.hasEnded(task, bound.attempt) {
+	if c.hasEnded(task, bound.boundAttempt()) {
 		return
 	}
 	delete(p.reservations, task)
@@ -100,6 +100,24 @@
 	}
 }
 
+// forgetStaleEnds forgets the ends of bindings that a group no longer has: somebody has stored
+// them. A write that is carried out while its answer is lost leaves them behind.
+func (c *cellRegistry) forgetStaleEnds(group *taskGroup, former []binding) {
+	if len(c.attemptEnds) == 0 {
+		return
+	}
+	for i := range former {
+		task := group.task(former[i].task)
+		end, known := c.attemptEnds[task]
+		if !known {
+			continue
+		}
+		if bound := group.binding(task.Number); bound == nil || end.of != bound.boundAttempt() {
+			delete(c.attemptEnds, task)
+		}
+	}
+}
+
 // reserveCells notes the cells of an Allocated group. Their bindings are stored by the next
 // scheduling pass.
 func (c *cellRegistry) reserveCells(p *partition, request *scheduling.Group) {
@@ -122,5 +140,5 @@
 // task was done.
 func (c *cellRegistry) isLost(group *taskGroup, bound *binding) bool {
 	end, ended := c.attemptEnds[group.task(bound.task)]
-	return ended && end.attempt == bound.attempt && !end.done
+	return ended && end.of == bound.boundAttempt() && !end.done
 }
--- a/internal/controller/group_records.go
+++ b/internal/controller/group_records.go
@@ -42,10 +42,12 @@
 		a.releaseChanged(group, v)
 	}
 	a.rollout.groupsByEncoding[stored.encoding]++
+	former := group.bindings
 	a.unlinkBindings(group)
 	a.moveToPartition(group, v.Partition)
 	group.setContent(v, stored)
 	a.putBindings(group, v.Tasks)
+	a.forgetStaleEnds(group, former)
 	a.adoptBindings(group)
 	a.stopThrottled(group)
 	a.requestPass()
@@ -122,6 +124,9 @@
 	a.rollout.groupsByEncoding[group.encoding]--
 	a.releaseCells(group, nil)
 	a.unlinkBindings(group)
+	former := group.bindings
+	group.bindings = nil
+	a.forgetStaleEnds(group, former)
 	a.moveToPartition(group, noPartition)
 	a.removeGroup(group)
 }
--- a/internal/controller/machine_records.go
+++ b/internal/controller/machine_records.go
@@ -101,7 +101,7 @@
 
 // Ended tells whether an attempt is proven to have ended, though that is not stored yet.
 func (r *machineRecords) Ended(binding reconcile.Binding) bool {
-	return r.hasEnded(binding.Task, binding.Attempt)
+	return r.hasEnded(binding.Task, boundAttempt{attempt: binding.Attempt, machine: r.machine, incarnation: binding.Incarnation})
 }
 
 // GangComplete tells whether a bound task is of no gang, or all of its gang are bound.
--- a/internal/controller/partition.go
+++ b/internal/controller/partition.go
@@ -56,11 +56,19 @@
 	incarnation uint64
 }
 
+// boundAttempt tells one binding of a task from all others. The number of the attempt alone
+// does not: in a gang, replacements have the number of the attempt that they complete.
+type boundAttempt struct {
+	attempt     uint64
+	machine     *machine
+	incarnation uint64
+}
+
 // attemptEnd is the proven end of an attempt.
 type attemptEnd struct {
-	attempt uint64
-	done    bool
-	failed  bool
+	of     boundAttempt
+	done   bool
+	failed bool
 }
 
 // freedCellsWindow is the time over which the cells that come free are counted.
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -29,13 +29,14 @@
 	if !finding.EndsAttempt() {
 		return
 	}
-	if finding.Status != nil && !c.hasEnded(task, finding.Binding.Attempt) {
+	bound := group.binding(task.Number)
+	if finding.Status != nil && !c.hasEnded(task, bound.boundAttempt()) {
 		c.noteTaskEnd(m, group.job, finding.Status.Reason)
 	}
-	c.endAttempt(group, group.binding(task.Number), attemptEnd{
-		attempt: finding.Binding.Attempt,
-		done:    finding.Case == reconcile.TaskCompleted,
-		failed:  finding.Case == reconcile.TaskFailed,
+	c.endAttempt(group, bound, attemptEnd{
+		of:     bound.boundAttempt(),
+		done:   finding.Case == reconcile.TaskCompleted,
+		failed: finding.Case == reconcile.TaskFailed,
 	})
 }
 
@@ -56,16 +57,16 @@
 }
 
 // hasEnded tells whether an attempt is proven to have ended, though that is not stored yet.
-func (c *cellRegistry) hasEnded(task scheduling.Task, attempt uint64) bool {
+func (c *cellRegistry) hasEnded(task scheduling.Task, attempt boundAttempt) bool {
 	end, known := c.attemptEnds[task]
-	return known && end.attempt == attempt
+	return known && end.of == attempt
 }
 
 // endAttempt notes the proven end of an attempt and frees its cell. The scheduling pass
 // stores it.
 func (c *clusterState) endAttempt(group *taskGroup, bound *binding, end attemptEnd) {
 	t := group.task(bound.task)
-	if c.hasEnded(t, bound.attempt) {
+	if c.hasEnded(t, bound.boundAttempt()) {
 		return
 	}
 	c.attemptEnds[t] = end
@@ -98,7 +99,7 @@
 	before := len(c.attemptEnds)
 	for _, entry := range m.bindings {
 		if bound := entry.group.binding(entry.task.Number); bound != nil && bound.machine == m {
-			c.endAttempt(entry.group, bound, attemptEnd{attempt: bound.attempt})
+			c.endAttempt(entry.group, bound, attemptEnd{of: bound.boundAttempt()})
 		}
 	}
 	if ended := len(c.attemptEnds) - before; ended > 0 {
--- a/internal/controller/task_group.go
+++ b/internal/controller/task_group.go
@@ -16,6 +16,11 @@
 	incarnation uint64
 }
 
+// boundAttempt is the attempt that the binding is for.
+func (b *binding) boundAttempt() boundAttempt {
+	return boundAttempt{attempt: b.attempt, machine: b.machine, incarnation: b.incarnation}
+}
+
 // taskGroup is some of a job's tasks, which are assigned to a partition together. Its owner
 // binds them to machines. One stored record holds it.
 type taskGroup struct {
