controller: tasks of a done gang stay bound until they are proven to have ended

Cause: a gang's tasks complete together, so with the first that is shown as done the owner dropped the bindings of all. One whose machine hangs just then is still there; its room and its team's limit went to others. Change: the job is done as early as before; bindings without a proven end stay, count for the quota and their cells, and are stopped like those of any final job. The job's record keeps its description, as a cancelled one's does, so that a later controller counts them too.

--- a/internal/controller/bindings.go
+++ b/internal/controller/bindings.go
@@ -49,6 +49,7 @@
 	newlyBound []scheduling.Task // new bindings
 	unplaced   int               // tasks that stay without a cell
 	changed    bool
+	gangDone   bool // the group is of a gang that is done
 	oversized  bool // the stored form is beyond what is allowed now
 }
 
@@ -107,12 +108,10 @@
 		update:  groupUpdate{done: group.done, oversized: group.size > c.maxValueBytes()},
 	}
 	if job.spec.Gang {
-		if plan.mayBind && job.gangIsDone() {
-			plan.gangDone()
-			return plan.update
-		}
+		plan.update.gangDone = plan.mayBind && job.gangIsDone()
+		plan.update.changed = plan.update.gangDone
 		plan.gangAttempt = p.bindingAttempt(group)
-		plan.mayBind = plan.mayBind && plan.gangAttempt > 0
+		plan.mayBind = plan.mayBind && plan.gangAttempt > 0 && !plan.update.gangDone
 	}
 	for _, bound := range group.bindings {
 		plan.task(bound)
@@ -140,6 +139,10 @@
 	if plan.end(&bound) {
 		return // a task that is done has no binding any more
 	}
+	if plan.update.gangDone && bound.machine == nil {
+		plan.update.done++ // a gang's tasks complete together
+		return
+	}
 	if plan.mayBind && bound.machine == nil && plan.bind(&bound) {
 		plan.update.newlyBound = append(plan.update.newlyBound, plan.group.task(bound.task))
 		plan.update.changed = true
@@ -189,19 +192,6 @@
 	return true
 }
 
-// gangDone has all tasks of a gang's group done: one of the gang is.
-func (plan *updatePlan) gangDone() {
-	group, update := plan.group, &plan.update
-	for i := range group.bindings {
-		task := group.task(group.bindings[i].task)
-		if end, ok := plan.owner.attemptEnds[task]; ok {
-			update.ended = append(update.ended, endedTask{task, end})
-		}
-	}
-	update.done += len(group.bindings)
-	update.changed = len(group.bindings) > 0
-}
-
 // updateCanWait tells whether an array's update can wait for more to come.
 func (c *partitionOwner) updateCanWait(group *taskGroup, update *groupUpdate) bool {
 	if group.job.spec.AllOrNothing() {
--- a/internal/controller/bindings_write.go
+++ b/internal/controller/bindings_write.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/json"
 	"errors"
 	"slices"
 
@@ -41,8 +42,7 @@
 	w.addPieces(write)
 	if w.finishesJob {
 		job.finishing = true
-		final := record.JSON(record.Job{FinalState: record.Done})
-		write.Changes = append(write.Changes, wire.Change{Put: jobKey(job.id), Value: final})
+		write.Changes = append(write.Changes, wire.Change{Put: jobKey(job.id), Value: c.doneJob(job)})
 	}
 	group.writing, group.write = true, write
 	c.metrics.count(countStored, 1)
@@ -82,10 +82,26 @@
 	write.Changes = append(write.Changes, wire.Change{Put: w.group.key, Value: pieces[0].At(w.group.key)})
 }
 
-// endsJob tells whether an update completes the last tasks of a job.
+// doneJob is the record of a job that is done. Tasks of a gang may still be on machines.
+func (c *partitionOwner) doneJob(j *job) json.RawMessage {
+	if j.spec.Gang {
+		return record.DoneGang(j.spec, j.acceptedAt, c.maxValueBytes())
+	}
+	return record.JSON(record.Job{FinalState: record.Done})
+}
+
+// endsJob tells whether an update completes the last tasks of a job. A gang's tasks complete
+// together: with the first that is shown as done the job is, and the bindings of the others
+// stay until they are proven to have ended. A task whose machine hangs is still there.
 func (c *partitionOwner) endsJob(group *taskGroup, update *groupUpdate) bool {
 	job := group.job
-	if job.finalState != record.Unfinished || job.finishing || update.done == group.done {
+	if job.finalState != record.Unfinished || job.finishing {
+		return false
+	}
+	if update.gangDone {
+		return true
+	}
+	if update.done == group.done {
 		return false
 	}
 	_, finished := job.assignedTasks()
--- a/internal/record/cancelled_job.go
+++ b/internal/record/cancelled_job.go
@@ -7,17 +7,28 @@
 	"eiderhitch/internal/wire"
 )
 
-// CancelledJob is a cancelled job's record. The description stays: its tasks count for the
-// team's quota until they are gone, also for a controller that starts later. Of one too large
-// for maxBytes, what placing it would need is left out.
+// CancelledJob is a cancelled job's record.
 func CancelledJob(spec *wire.Job, acceptedAt time.Time, maxBytes int) json.RawMessage {
-	cancelled := Job{FinalState: Cancelled, AcceptedAtMS: acceptedAt.UnixMilli(), Spec: spec}
-	value := JSON(cancelled)
+	return finalJobWithTasks(Cancelled, spec, acceptedAt, maxBytes)
+}
+
+// DoneGang is the record of a gang that is done while tasks of it may still be on machines.
+func DoneGang(spec *wire.Job, acceptedAt time.Time, maxBytes int) json.RawMessage {
+	return finalJobWithTasks(Done, spec, acceptedAt, maxBytes)
+}
+
+// finalJobWithTasks is the record of a final job that may have tasks on machines. The
+// description stays: its tasks count for the team's quota until they are gone, also for a
+// controller that starts later. Of one too large for maxBytes, what placing it would need is
+// left out.
+func finalJobWithTasks(state FinalState, spec *wire.Job, acceptedAt time.Time, maxBytes int) json.RawMessage {
+	final := Job{FinalState: state, AcceptedAtMS: acceptedAt.UnixMilli(), Spec: spec}
+	value := JSON(final)
 	if len(value) <= maxBytes {
 		return value
 	}
 	short := *spec
 	short.MachineTypes, short.Image, short.Class = nil, "", ""
-	cancelled.Spec = &short
-	return JSON(cancelled)
+	final.Spec = &short
+	return JSON(final)
 }
