--- a/cmd/eiderhitch/upgrade_test.go
+++ b/cmd/eiderhitch/upgrade_test.go
@@ -60,12 +60,19 @@
 }
 
 func newSimulatedStore(t *testing.T) *simulatedStore {
+	t.Helper()
+	return newSimulatedStoreBehind(t, func(store http.Handler) http.Handler { return store })
+}
+
+// newSimulatedStoreBehind is newSimulatedStore behind what handles its calls first.
+func newSimulatedStoreBehind(t *testing.T, wrap func(store http.Handler) http.Handler) *simulatedStore {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	state := kv.NewStore()
-	server := &http.Server{Handler: state}
+	server := &http.Server{Handler: wrap(state)}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	s := &simulatedStore{t: t, store: state, client: store.NewClient(l.Addr().String(), http.DefaultTransport), file: filepath.Join(t.TempDir(), "n0.toml")}
--- a/internal/controller/rollout_processes_test.go
+++ b/internal/controller/rollout_processes_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -110,9 +111,13 @@
 // command runs an operator's command and returns the status that it prints.
 func (f *fleetUnderUpgrade) command(name string) *rollout.Status {
 	f.t.Helper()
-	raw, err := exec.Command(f.today, "upgrade", name, "--json", "--wait", "30s", "--config", f.settings(f.rng.IntN(3))).Output()
+	var failure bytes.Buffer
+	command := exec.Command(f.today, "upgrade", name, "--json", "--wait", "30s", "--config", f.settings(f.rng.IntN(3)))
+	command.Stderr = &failure
+	begun := time.Now()
+	raw, err := command.Output()
 	if err != nil {
-		f.t.Fatalf("upgrade %s: %v: %s", name, err, raw)
+		f.t.Fatalf("upgrade %s: %v after %v: %s%s; the state is %+v; the controllers' logs are in %s", name, err, time.Since(begun), raw, failure.Bytes(), f.rolloutState(), f.logs.Name())
 	}
 	var status rollout.Status
 	if err := json.Unmarshal(raw, &status); err != nil {
