--- a/cmd/eiderhitch/upgrade.go
+++ b/cmd/eiderhitch/upgrade.go
@@ -18,7 +18,8 @@
 const (
 	exitRefused    = 2 // the request was refused; nothing was changed
 	exitChanged    = 3 // somebody else changed the state; nothing was changed by this command
-	exitNotYetDone = 4 // the request is stored, but not carried out yet
+	exitNotYetDone = 4 // the request is stored, but not carried out yet, as far as is known
+	exitUnknown    = 5 // it is not known whether the request was stored
 )
 
 // upgradeCommand is the commands that show and steer a staged upgrade.
@@ -32,11 +33,9 @@
 type clusterFlags struct {
 	Config string `help:"The platform's settings file of any controller (TOML)." placeholder:"FILE" required:"" type:"path"`
 	JSON   bool   `help:"Print JSON."`
-}
-
-// waitFlags are the flags of the commands that change something.
-type waitFlags struct {
-	Wait time.Duration `help:"How long to wait until it is carried out." default:"15s"`
+	// Wait is also for how long calls are tried again that the key-value store refuses or does
+	// not answer.
+	Wait time.Duration `help:"How long to wait for the key-value store, and until a request is carried out." default:"15s"`
 }
 
 type upgradeStatus struct {
@@ -45,12 +44,10 @@
 
 type upgradeFinalize struct {
 	clusterFlags `embed:""`
-	waitFlags    `embed:""`
 }
 
 type upgradeAbort struct {
 	clusterFlags `embed:""`
-	waitFlags    `embed:""`
 }
 
 const (
@@ -74,7 +71,7 @@
 }
 
 // operator returns an operator of the cluster that the settings describe.
-func (c *clusterFlags) operator() (*rollout.Operator, error) {
+func (c *clusterFlags) operator(retryUntil time.Time) (*rollout.Operator, error) {
 	platform, err := config.Load(c.Config)
 	if err != nil {
 		return nil, err
@@ -86,16 +83,17 @@
 		Members:       platform.Nodes(),
 		Partitions:    platform.Settings.Count,
 		MaxTxnChanges: platform.Settings.Store.TxnOps,
+		RetryUntil:    retryUntil,
 	}, nil
 }
 
 // show prints the state of the upgrade.
 func (c *clusterFlags) show(out io.Writer) error {
-	operator, err := c.operator()
+	operator, err := c.operator(time.Now().Add(c.Wait))
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout+c.Wait)
 	defer cancel()
 	status, err := operator.Status(ctx)
 	if err != nil {
@@ -107,7 +105,7 @@
 // unreachable adds what to do when the key-value store gives no usable answer.
 func unreachable(err error) error {
 	if errors.Is(err, store.ErrOutcomeUnknown) || errors.Is(err, store.ErrNotExecuted) {
-		return fmt.Errorf("%w; nothing is known to be changed: see that external.state in the settings can be reached, and look at the status", err)
+		return fmt.Errorf("%w; nothing was changed: see that external.state in the settings can be reached, and try again", err)
 	}
 	return err
 }
@@ -115,7 +113,8 @@
 // request stores a request, waits until the leader has carried it out and prints the state
 // then.
 func (c *clusterFlags) request(out io.Writer, request rollout.Request, wait time.Duration) error {
-	operator, err := c.operator()
+	until := time.Now().Add(wait)
+	operator, err := c.operator(until)
 	if err != nil {
 		return err
 	}
@@ -128,10 +127,13 @@
 	if errors.Is(err, rollout.ErrChanged) {
 		return &exitError{exitChanged, err}
 	}
+	if _, unsettled := errors.AsType[*rollout.UnsettledError](err); unsettled {
+		return &exitError{exitUnknown, fmt.Errorf("%w; look at the status, and ask again if it does not show the request", err)}
+	}
 	if err != nil {
 		return unreachable(err)
 	}
-	return c.await(ctx, out, operator, asked, time.Now().Add(wait))
+	return c.await(ctx, out, operator, asked, until)
 }
 
 // await waits until the request with which Submit returned a state has been carried out.
@@ -139,7 +141,7 @@
 	for {
 		status, err := operator.Status(ctx)
 		if err != nil {
-			return unreachable(err)
+			return &exitError{exitNotYetDone, fmt.Errorf("%s is stored, and what became of it can't be read: %w; look at the status", asked.Request, err)}
 		}
 		if rollout.Completed(asked, status.State) {
 			return c.print(out, status)
--- a/internal/rollout/operator.go
+++ b/internal/rollout/operator.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"eiderhitch/internal/record"
-	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
 
@@ -26,6 +25,9 @@
 	Members       []string
 	Partitions    int
 	MaxTxnChanges int
+	// RetryUntil is up to when calls are tried again that the store refused or did not answer;
+	// the zero time: none is.
+	RetryUntil time.Time
 }
 
 // Status is the state of an upgrade as operators are shown it. Its JSON is read by scripts.
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	groups, _, err := o.Store.List(ctx, groupPrefix)
+	groups, err := o.list(ctx, groupPrefix)
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +106,11 @@
 
 // state returns the stored state and its revision.
 func (o *Operator) state(ctx context.Context) (State, uint64, error) {
-	item, err := o.Store.Get(ctx, StateKey)
+	var item *wire.Item
+	err := o.retry(ctx, func() (err error) {
+		item, err = o.Store.Get(ctx, StateKey)
+		return err
+	})
 	if err != nil {
 		return State{}, 0, err
 	}
@@ -117,7 +123,7 @@
 
 // controllers returns the registered controllers by name.
 func (o *Operator) controllers(ctx context.Context) (map[string]Registered, error) {
-	items, _, err := o.Store.List(ctx, ControllerPrefix)
+	items, err := o.list(ctx, ControllerPrefix)
 	if err != nil {
 		return nil, err
 	}
@@ -132,6 +138,15 @@
 	return out, nil
 }
 
+// list reads the keys below a prefix.
+func (o *Operator) list(ctx context.Context, prefix string) (items []wire.Item, err error) {
+	err = o.retry(ctx, func() (err error) {
+		items, _, err = o.Store.List(ctx, prefix)
+		return err
+	})
+	return items, err
+}
+
 // view returns what a decision of the leader would rest on, apart from the records.
 func (o *Operator) view(controllers map[string]Registered) View {
 	return View{Now: time.Now(), Members: o.Members, Controllers: controllers, Leading: true, Current: true,
@@ -162,7 +177,8 @@
 var ErrChanged = errors.New("the state has changed meanwhile; look at it again")
 
 // Submit stores a request for the leader to carry out, and returns the state with it. Its
-// errors are a RefusedError, ErrChanged or those of the store.
+// errors are a RefusedError, ErrChanged, an UnsettledError or, if nothing was changed, those of
+// the store.
 func (o *Operator) Submit(ctx context.Context, request Request) (State, error) {
 	state, revision, err := o.state(ctx)
 	if err != nil {
@@ -177,20 +193,10 @@
 	}
 	next := state
 	next.Request = request
-	_, err = o.Store.Txn(ctx, &wire.Txn{
-		Conditions: []wire.Condition{{Key: StateKey, Revision: revision}},
-		Changes:    []wire.Change{{Put: StateKey, Value: next.Encode()}},
-	})
-	if errors.Is(err, store.ErrOutcomeUnknown) {
-		// Perhaps it was applied: what is stored now tells.
-		if now, _, readErr := o.state(ctx); readErr == nil && now == next {
-			err = nil
-		}
-	}
-	if errors.Is(err, store.ErrConflict) {
-		return state, ErrChanged
+	if err := o.storeRequest(ctx, next, revision); err != nil {
+		return state, err
 	}
-	return next, err
+	return next, nil
 }
 
 // checkRequest returns a RefusedError if a request can't be carried out in a state.
