A machine that all speaks for is allowed; a launch that can't be queued is made later

A cached image, spot and a service on it came to a score below zero, which means not allowed: the best machine was never chosen unless 50 CPUs were free. The base score is the sum of all that may be taken off now; the order of machines stays as it was. A launch that found the queue of calls to the cloud full blocked its offer until the leader's term ended. It is backed off like one that the cloud did not answer.

--- a/internal/autoscaler/launch.go
+++ b/internal/autoscaler/launch.go
@@ -29,8 +29,6 @@
 
 // launch asks the cloud for machines, unless it has been asked for such already. The
 // idempotency key is unique for all time: an epoch never comes again.
-//
-// One that the queue of calls has no room for counts as under way until the term ends.
 func (a *Autoscaler) launch(offer planning.Offer, count int) {
 	if a.term.launching[offer] > 0 {
 		return
@@ -42,7 +40,7 @@
 		IdempotencyKey: fmt.Sprintf("r-%d-%d", epoch, a.term.launchRequests),
 		Type:           offer.Type, Zone: offer.Zone, Spot: offer.Spot, Count: count,
 	}
-	a.queueCall(func(ctx context.Context) {
+	queued := a.queueCall(func(ctx context.Context) {
 		names, err := a.Cloud.Launch(ctx, request)
 		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) && !errors.Is(err, cloud.ErrRefused) {
 			names, err = a.Cloud.Launch(ctx, request) // unanswered: the same key launches nothing twice
@@ -53,8 +51,14 @@
 			}
 		})
 	})
+	if !queued {
+		a.applyLaunch(launchResult{offer: offer, asked: count, err: errQueueFull})
+	}
 }
 
+// errQueueFull says that a call to the cloud was not made.
+var errQueueFull = errors.New("too many calls to the cloud wait")
+
 // launchResult is what became of a launch.
 type launchResult struct {
 	offer      planning.Offer
--- a/internal/controller/scoring.go
+++ b/internal/controller/scoring.go
@@ -12,7 +12,8 @@
 const (
 	// notAllowed is the score of a machine on which a task must not be placed.
 	notAllowed = -1
-	baseScore  = 1000.0
+	// baseScore keeps the score of a machine that all speaks for from meaning notAllowed.
+	baseScore = -(cachedImageScore + spotScore + serviceScore)
 	// spotScore prefers spot machines: dearer ones are left to those who need them.
 	spotScore = -500
 	// serviceScore prefers machines that run a service: they stay anyhow.
@@ -44,7 +45,7 @@
 		if !c.mayPlace(p, group, m) {
 			return notAllowed
 		}
-		score := baseScore + c.fetchScore(m, spec)
+		score := float64(baseScore) + c.fetchScore(m, spec)
 		if m.spot {
 			score += spotScore
 		}
