wire: the tables of required fields of a submission are read by one generic function

Three loops of the same shape stood in parse_job.go. Errors, their order and their texts are as before; the package's generated tests and golden files pass unchanged.

--- a/internal/wire/parse_job.go
+++ b/internal/wire/parse_job.go
@@ -102,31 +102,51 @@
 	return b, nil
 }
 
-func (b *jobBody) parseNames(job *Job) error {
-	for _, field := range []struct {
-		name string
-		from *string
-		to   *string
-	}{
-		{"nameId", b.ID, &job.ID},
-		{"flock", b.Class, &job.Class},
-		{"crew", b.Team, &job.Team},
-		{"plumage", b.Image, &job.Image},
-	} {
+// requiredField is a field that a submission must have, and where its value goes.
+type requiredField[T any] struct {
+	name string
+	from *T // nil: it is missing or null
+	to   *T
+}
+
+// takeRequired takes the fields' values over, up to the first that is missing or refused.
+func takeRequired[T any](fields []requiredField[T], check func(name string, value T) error) error {
+	for _, field := range fields {
 		if field.from == nil {
 			return &FieldError{Field: field.name, Err: errMissing}
 		}
-		if !validName(*field.from) {
-			return fieldErrorf(field.name, "must have 1 to %d bytes", maxName)
+		if err := check(field.name, *field.from); err != nil {
+			return err
 		}
 		*field.to = *field.from
 	}
+	return nil
+}
+
+func (b *jobBody) parseNames(job *Job) error {
+	err := takeRequired([]requiredField[string]{
+		{"nameId", b.ID, &job.ID},
+		{"flock", b.Class, &job.Class},
+		{"crew", b.Team, &job.Team},
+		{"plumage", b.Image, &job.Image},
+	}, checkName)
+	if err != nil {
+		return err
+	}
 	if !ValidJobID(job.ID) {
 		return fieldErrorf("nameId", "%q is not of the form wk-000000", job.ID)
 	}
 	return nil
 }
 
+// checkName refuses names that are too short or too long.
+func checkName(field, name string) error {
+	if !validName(name) {
+		return fieldErrorf(field, "must have 1 to %d bytes", maxName)
+	}
+	return nil
+}
+
 func validName(name string) bool { return name != "" && len(name) <= maxName }
 
 func (b *jobBody) parseKind(job *Job) error {
@@ -171,11 +191,7 @@
 		job.NoDeadline = true
 		deadline = new(float64)
 	}
-	for _, field := range []struct {
-		name string
-		from *float64
-		to   *float64
-	}{
+	return takeRequired([]requiredField[float64]{
 		{"cpus", b.CPUs, &job.CPUs},
 		{"cards", b.GPUs, &job.GPUs},
 		{"ramGb", b.RAMGB, &job.RAMGB},
@@ -184,14 +200,13 @@
 		{"moultS", b.CheckpointS, &job.CheckpointS},
 		{"stowS", b.SaveS, &job.SaveS},
 		{"dueS", deadline, &job.DeadlineS},
-	} {
-		if field.from == nil {
-			return &FieldError{Field: field.name, Err: errMissing}
-		}
-		if !(*field.from >= 0 && *field.from <= maxAmount) {
-			return fieldErrorf(field.name, "must be between 0 and %g", maxAmount)
-		}
-		*field.to = *field.from
+	}, checkAmount)
+}
+
+// checkAmount refuses amounts that are negative, too large or no number.
+func checkAmount(field string, amount float64) error {
+	if !(amount >= 0 && amount <= maxAmount) {
+		return fieldErrorf(field, "must be between 0 and %g", maxAmount)
 	}
 	return nil
 }
@@ -224,19 +239,10 @@
 }
 
 func (b *jobBody) parseFlags(job *Job) error {
-	for _, field := range []struct {
-		name string
-		from *bool
-		to   *bool
-	}{
+	anyValue := func(string, bool) error { return nil }
+	return takeRequired([]requiredField[bool]{
 		{"samePlace", b.SingleZone, &job.SingleZone},
 		{"spread", b.Spread, &job.Spread},
 		{"driftwood", b.Spot, &job.Spot},
-	} {
-		if field.from == nil {
-			return &FieldError{Field: field.name, Err: errMissing}
-		}
-		*field.to = *field.from
-	}
-	return nil
+	}, anyValue)
 }
