controller: a token of another partition no longer counts as shown by the owner

Cause: a machine counted as spoken to by its owner if it showed any token from the owner's first on. Tokens of all partitions are revisions of one store, so the lender's could be between two of the borrower's, and a late copy of a heartbeat to the lender was taken for the machine's state. Change: an owner remembers its last 32 tokens; a machine that shows another is asked first.

--- a/internal/controller/failover.go
+++ b/internal/controller/failover.go
@@ -94,7 +94,7 @@
 		if p.key != key {
 			continue
 		}
-		p.token = token
+		p.setToken(token)
 		p.cancelWrites()
 		if key == c.leaderKey() {
 			c.leadership.token = token
@@ -122,7 +122,9 @@
 // takeOverPartition takes a partition over: the replica is read once more, so that it has
 // all that former owners stored, then the cells are rebuilt from it.
 func (c *controller) takeOverPartition(p *partition, token uint64) {
-	p.token, p.firstToken, p.ownedSince, p.active = token, token, c.now, false
+	p.firstToken, p.ownedSince, p.active = token, c.now, false
+	p.ownTokens = nil
+	p.setToken(token)
 	p.cells, p.reservations = scheduling.NewPartition(), map[scheduling.Task]reservation{}
 	// A former owner's last read may have begun just before its key went; it may go on
 	// answering heartbeats for the maximum staleness after that. Whether there was one
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -101,7 +101,7 @@
 	if p.active && !m.terminated {
 		c.reconcile(m, p)
 	}
-	if source == workerRequest && (m.leaseExpiredUnheard || m.token < p.firstToken) {
+	if source == workerRequest && (m.leaseExpiredUnheard || !p.isOwnToken(m.token)) {
 		c.ping(m, p) // if it receives anything, its answer shows the present token
 	}
 	if changesDecisions {
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -91,7 +91,7 @@
 // this owner: a heartbeat with an earlier one may be a late copy, after a failover even of a
 // machine that died long ago, and there is nothing to compare it with.
 func (c *clusterState) usable(m *machine, p *partition) bool {
-	heard := m.heartbeatAt.After(p.ownsMachineSince(m)) && m.incarnation > 0 && m.token >= p.firstToken
+	heard := m.heartbeatAt.After(p.ownsMachineSince(m)) && m.incarnation > 0 && p.isOwnToken(m.token)
 	return heard && !m.terminated && !m.notReceiving(p) && c.now.Sub(m.heartbeatAt) < c.usableFor()
 }
 
--- a/internal/controller/partition.go
+++ b/internal/controller/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"eiderhitch/internal/scheduling"
@@ -15,7 +16,9 @@
 	// token is the fencing token of this controller's lease of the partition; 0: it does not
 	// own it. firstToken is the first since the lease was last acquired, at ownedSince.
 	token, firstToken uint64
-	ownedSince        time.Time
+	// ownTokens are the newest tokens since then.
+	ownTokens  []uint64
+	ownedSince time.Time
 	// active: the replica was read after the failover.
 	active bool
 	// formerOwnerStaleness is how long a former owner may go on answering heartbeats.
@@ -50,6 +53,26 @@
 	countedAt       time.Time
 }
 
+// maxOwnTokens is how many tokens of a partition are remembered. A machine that last showed an
+// older one is asked to show the present one.
+const maxOwnTokens = 32
+
+// setToken notes a new fencing token of this controller's lease.
+func (p *partition) setToken(token uint64) {
+	p.token = token
+	p.ownTokens = append(p.ownTokens, token)
+	if excess := len(p.ownTokens) - maxOwnTokens; excess > 0 {
+		p.ownTokens = slices.Delete(p.ownTokens, 0, excess)
+	}
+}
+
+// isOwnToken tells whether a machine that has seen a token, and none higher, has been spoken to
+// by this controller as the partition's owner. Tokens are revisions of one store: one of another
+// partition may be between two of this one.
+func (p *partition) isOwnToken(token uint64) bool {
+	return token >= p.firstToken && (token >= p.token || slices.Contains(p.ownTokens, token))
+}
+
 // reservation is a reserved cell whose binding is not stored yet.
 type reservation struct {
 	machine     *machine
