autoscaler: where machines do not come up, another type, zone or kind is launched

Machines that never came up were given up, and as many launched of the same offer, since it was the cheapest. Their offer rests now as after a lack of capacity; a log line says which. TestDemandGoesElsewhereWhereMachinesDoNotComeUp failed before.

--- a/internal/autoscaler/launch_test.go
+++ b/internal/autoscaler/launch_test.go
@@ -244,3 +244,31 @@
 		t.Errorf("launches: %+v, want one of 3", c.cloud.launches)
 	}
 }
+
+// A machine that does not come up is given up once, and what it was for goes to another offer
+// while there is one; its own is asked for again after the usual backoff.
+func TestDemandGoesElsewhereWhereMachinesDoNotComeUp(t *testing.T) {
+	c := newFakeCluster()
+	c.types["small"].Zones = []string{"a", "b"}
+	a := c.autoscaler(t)
+	a.term.listed = true
+	a.Scale(c.workload(c.demand(3)))
+	c.makeCalls(a)
+	first := c.cloud.launches[0]
+	c.now = c.now.Add(a.bootTimeout(c.types["small"]) + time.Second)
+	for range 3 { // the leader's steps until the call to the cloud is made
+		a.TerminateLost()
+	}
+	a.Scale(c.workload(c.demand(3)))
+	c.makeCalls(a)
+	if len(c.cloud.terminations) != 1 || len(c.cloud.terminations[0]) != first.Count {
+		t.Errorf("terminations: %v, want all %d machines once", c.cloud.terminations, first.Count)
+	}
+	if len(c.cloud.launches) != 2 || c.cloud.launches[1].Zone == first.Zone || c.cloud.launches[1].Count != first.Count {
+		t.Fatalf("launches: %+v, want a second one of as many in the other zone", c.cloud.launches)
+	}
+	offer := planning.Offer{Type: first.Type, Zone: first.Zone, Spot: first.Spot}
+	if rest := a.term.refusedUntil[offer].Sub(c.now); rest != minLaunchBackoff {
+		t.Errorf("the first zone rests for %v, want %v", rest, minLaunchBackoff)
+	}
+}
--- a/internal/autoscaler/lost.go
+++ b/internal/autoscaler/lost.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"eiderhitch/internal/cloud"
 	"eiderhitch/internal/config"
+	"eiderhitch/internal/planning"
 	"eiderhitch/internal/wire"
 )
 
@@ -28,6 +30,7 @@
 // leader.
 func (a *Autoscaler) TerminateLost() {
 	names := a.overdueInstances()
+	a.noteNeverUp(names)
 	a.Machines.EachReported(func(m ReportedMachine) {
 		if a.lost(&m) {
 			names = append(names, m.Name)
@@ -36,6 +39,23 @@
 	a.terminate(names)
 }
 
+// noteNeverUp has the offers rest for a while of which machines did not come up. Like a lack of
+// capacity it befalls one type, zone and kind at a time: meanwhile what the machines were for
+// goes to another offer, if there is one.
+func (a *Autoscaler) noteNeverUp(overdue []string) {
+	neverUp := map[planning.Offer]int{}
+	for _, name := range overdue {
+		inst := a.term.instances[name]
+		if !inst.reported && !a.terminating[name] {
+			neverUp[planning.Offer{Type: inst.machineType, Zone: inst.zone, Spot: inst.spot}]++
+		}
+	}
+	for offer, count := range neverUp {
+		a.backOff(offer, cloud.ErrNoCapacity)
+		a.Log.Info("machines did not come up", "type", offer.Type, "zone", offer.Zone, "spot", offer.Spot, "machines", count)
+	}
+}
+
 // overdueInstances are those that have not come up in time, and those that no owner tells
 // of any more: they died while their partition, or they themselves, changed hands. Only its
 // partition's owner can tell whether a machine is up: after a failover a machine may be old
