--- a/internal/controller/gang_phases_test.go
+++ b/internal/controller/gang_phases_test.go
@@ -304,40 +304,44 @@
 	}
 }
 
-// One task that is done is all done: in one change with the job's fate, whether the others'
-// heartbeats have come or say that others are gone; and a controller that takes over when
-// only a part of the records is stored as done ends the rest. Tasks that are still shown on
-// their machines stay bound: they count there until they are gone.
-func TestOneDoneIsAllDone(t *testing.T) {
-	setUp := func(t *testing.T, records int) (*controller, *partition, []*taskGroup) {
-		ctl := lone(t)
-		p := ctl.partitions[0]
-		m := ctl.machineNamed("host-1")
-		ctl.applyHeartbeat(m, &wire.Heartbeat{Machine: "host-1", Type: "small", Zone: "a", Incarnation: 1, Sequence: 1, Token: 1}, p, workerRequest)
-		ctl.replica.Put(jobKey("wk-1"), raw(t, record.Job{AcceptedAtMS: ctl.now.UnixMilli(), Spec: &wire.Job{ID: "wk-1", Gang: true, Tasks: 4, CPUs: 1, Team: "t"}}), 2)
-		var groups []*taskGroup
-		for k := range records {
-			var tasks []record.Binding
-			for n := k * 4 / records; n < (k+1)*4/records; n++ {
-				tasks = append(tasks, record.Binding{Task: int32(n), Attempt: 1, Machine: "host-1", Incarnation: 1})
-			}
-			key := groupKey("wk-1", k)
-			ctl.replica.Put(key, raw(t, record.TaskGroup{Tasks: tasks}), uint64(3+k))
-			groups = append(groups, ctl.groupByKey[key])
+// runningGang is a controller with a gang of four on one machine, stored in so many groups.
+func runningGang(t *testing.T, records int) (*controller, *partition, []*taskGroup) {
+	t.Helper()
+	ctl := lone(t)
+	p := ctl.partitions[0]
+	m := ctl.machineNamed("host-1")
+	ctl.applyHeartbeat(m, &wire.Heartbeat{Machine: "host-1", Type: "small", Zone: "a", Incarnation: 1, Sequence: 1, Token: 1}, p, workerRequest)
+	ctl.replica.Put(jobKey("wk-1"), raw(t, record.Job{AcceptedAtMS: ctl.now.UnixMilli(), Spec: &wire.Job{ID: "wk-1", Gang: true, Tasks: 4, CPUs: 1, Team: "t"}}), 2)
+	var groups []*taskGroup
+	for k := range records {
+		var tasks []record.Binding
+		for n := k * 4 / records; n < (k+1)*4/records; n++ {
+			tasks = append(tasks, record.Binding{Task: int32(n), Attempt: 1, Machine: "host-1", Incarnation: 1})
 		}
-		return ctl, p, groups
+		key := groupKey("wk-1", k)
+		ctl.replica.Put(key, raw(t, record.TaskGroup{Tasks: tasks}), uint64(3+k))
+		groups = append(groups, ctl.groupByKey[key])
 	}
-	heartbeat := func(ctl *controller, p *partition, seq uint64, whys map[int]string) {
-		heartbeat := &wire.Heartbeat{Machine: "host-1", Type: "small", Zone: "a", Incarnation: 1, Sequence: seq, Token: 1}
-		for n := range 4 {
-			if why, ok := whys[n]; ok {
-				heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{Task: fmt.Sprint("wk-1/", n), Attempt: 1, State: wire.Exited, Reason: why})
-			} else {
-				heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{Task: fmt.Sprint("wk-1/", n), Attempt: 1, State: wire.Running})
-			}
+	return ctl, p, groups
+}
+
+// gangHeartbeat is the machine's next heartbeat: why which of the gang's tasks have exited.
+func gangHeartbeat(ctl *controller, p *partition, whys map[int]string) {
+	heartbeat := &wire.Heartbeat{Machine: "host-1", Type: "small", Zone: "a", Incarnation: 1, Sequence: 2, Token: 1}
+	for n := range 4 {
+		if why, ok := whys[n]; ok {
+			heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{Task: fmt.Sprint("wk-1/", n), Attempt: 1, State: wire.Exited, Reason: why})
+		} else {
+			heartbeat.Tasks = append(heartbeat.Tasks, wire.TaskStatus{Task: fmt.Sprint("wk-1/", n), Attempt: 1, State: wire.Running})
 		}
-		ctl.applyHeartbeat(ctl.machineNamed("host-1"), heartbeat, p, workerRequest)
 	}
+	ctl.applyHeartbeat(ctl.machineNamed("host-1"), heartbeat, p, workerRequest)
+}
+
+// One task that is done is all done: in one change with the job's fate, whether the others'
+// heartbeats have come or say that others are gone. Tasks that are still shown on their
+// machines stay bound: they count there until they are gone.
+func TestOneDoneIsAllDone(t *testing.T) {
 	for _, x := range []struct {
 		name string
 		whys map[int]string
@@ -348,29 +352,41 @@
 		{"others are said stopped", map[int]string{0: wire.ReasonStopped, 3: wire.ReasonDone}, []int32{1, 2}},
 		{"all are heard", map[int]string{0: wire.ReasonDone, 1: wire.ReasonDone, 2: wire.ReasonStopped, 3: wire.ReasonPeersGone}, nil},
 	} {
-		ctl, p, groups := setUp(t, 1)
-		heartbeat(ctl, p, 2, x.whys)
-		update := ctl.planUpdate(p, groups[0])
-		var left []int32
-		for _, bound := range update.bindings {
-			if bound.machine == nil || bound.attempt != 1 {
-				t.Errorf("%s: task %d is left as %+v, want its binding", x.name, bound.task, bound)
-			}
-			left = append(left, bound.task)
-		}
-		if update.done != 4-len(x.left) || !slices.Equal(left, x.left) || !ctl.endsJob(groups[0], &update) {
-			t.Errorf("%s: %d done, %v left, ends the job: %v; want %v left and the job ended", x.name, update.done, left, ctl.endsJob(groups[0], &update), x.left)
-		}
+		t.Run(x.name, func(t *testing.T) { checkDoneGang(t, x.whys, x.left) })
 	}
-	c, p, recs := setUp(t, 1)
-	heartbeat(c, p, 2, map[int]string{0: wire.ReasonPeersGone, 1: wire.ReasonPeersGone, 2: wire.ReasonPeersGone, 3: wire.ReasonPeersGone})
+}
+
+// What is stored of a gang decides together with its heartbeats: where none is done, none is; a
+// controller that takes over when a part of the records is stored as done ends the rest.
+func TestDoneGangAfterAFailover(t *testing.T) {
+	c, p, recs := runningGang(t, 1)
+	gangHeartbeat(c, p, map[int]string{0: wire.ReasonPeersGone, 1: wire.ReasonPeersGone, 2: wire.ReasonPeersGone, 3: wire.ReasonPeersGone})
 	if update := c.planUpdate(p, recs[0]); update.done != 0 || len(update.bindings) != 4 {
 		t.Errorf("none is done: %d done, %d left", update.done, len(update.bindings))
 	}
-	c, p, recs = setUp(t, 2)
+	c, p, recs = runningGang(t, 2)
 	c.replica.Put(recs[0].key, raw(t, record.TaskGroup{Done: 2, Tasks: []record.Binding{}}), 9) // by the owner before
-	heartbeat(c, p, 2, map[int]string{2: wire.ReasonPeersGone, 3: wire.ReasonPeersGone})
+	gangHeartbeat(c, p, map[int]string{2: wire.ReasonPeersGone, 3: wire.ReasonPeersGone})
 	if update := c.planUpdate(p, recs[1]); update.done != 2 || !c.endsJob(recs[1], &update) {
 		t.Errorf("half is stored as done: %d more are", update.done)
 	}
 }
+
+// checkDoneGang has a gang's heartbeat come and checks what is stored: the job is done, and the
+// tasks stay bound that are left.
+func checkDoneGang(t *testing.T, whys map[int]string, wantLeft []int32) {
+	t.Helper()
+	ctl, p, groups := runningGang(t, 1)
+	gangHeartbeat(ctl, p, whys)
+	update := ctl.planUpdate(p, groups[0])
+	var left []int32
+	for _, bound := range update.bindings {
+		if bound.machine == nil || bound.attempt != 1 {
+			t.Errorf("task %d is left as %+v, want its binding", bound.task, bound)
+		}
+		left = append(left, bound.task)
+	}
+	if update.done != 4-len(wantLeft) || !slices.Equal(left, wantLeft) || !ctl.endsJob(groups[0], &update) {
+		t.Errorf("%d done, %v left, ends the job: %v; want %v left and the job ended", update.done, left, ctl.endsJob(groups[0], &update), wantLeft)
+	}
+}
--- a/internal/controller/outage_lines_test.go
+++ b/internal/controller/outage_lines_test.go
@@ -22,35 +22,44 @@
 		{"the cloud", "of=cloud", func(c *cluster, down bool) { c.env.Cloud.SetDown(down) }, 1},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			runCluster(t, func(c *cluster) {
-				c.keepsLogs = true
-				c.restartAll()
-				c.submit(newSubmission(submission{ID: "wk-1", Kind: wire.Service, Team: "blue", Priority: "urgent", Tasks: 2, CPUs: 1}))
-				c.await("it runs", time.Minute, func() bool { return c.env.Running("wk-1") == 2 })
-				before := c.infoLines("outage")
-				if len(before) > 0 {
-					t.Errorf("lines before the outage: %q, want none", before)
-				}
-				x.setDown(c, true)
-				time.Sleep(25 * time.Second)
-				x.setDown(c, false)
-				time.Sleep(10 * time.Second)
-				for _, want := range []string{`msg="outage began"`, `msg="outage ended"`} {
-					lines := c.infoLines(want)
-					if len(lines) != x.nodes {
-						t.Errorf("%d lines with %s, want %d: %q", len(lines), want, x.nodes, lines)
-					}
-					for _, line := range lines {
-						if !strings.Contains(line, x.of) {
-							t.Errorf("line %q, want %s in it", line, x.of)
-						}
-					}
-				}
-			})
+			runCluster(t, func(c *cluster) { c.checkOutageLines(x.of, x.nodes, func(down bool) { x.setDown(c, down) }) })
 		})
 	}
 }
 
+// checkOutageLines has an outage happen and checks its lines.
+func (c *cluster) checkOutageLines(of string, nodes int, setDown func(down bool)) {
+	c.t.Helper()
+	c.keepsLogs = true
+	c.restartAll()
+	c.submit(newSubmission(submission{ID: "wk-1", Kind: wire.Service, Team: "blue", Priority: "urgent", Tasks: 2, CPUs: 1}))
+	c.await("it runs", time.Minute, func() bool { return c.env.Running("wk-1") == 2 })
+	before := c.infoLines("outage")
+	if len(before) > 0 {
+		c.t.Errorf("lines before the outage: %q, want none", before)
+	}
+	setDown(true)
+	time.Sleep(25 * time.Second)
+	setDown(false)
+	time.Sleep(10 * time.Second)
+	c.checkInfoLines(`msg="outage began"`, of, nodes)
+	c.checkInfoLines(`msg="outage ended"`, of, nodes)
+}
+
+// checkInfoLines checks how many lines with a text controllers have logged, all with another.
+func (c *cluster) checkInfoLines(text, alsoIn string, want int) {
+	c.t.Helper()
+	lines := c.infoLines(text)
+	if len(lines) != want {
+		c.t.Errorf("%d lines with %s, want %d: %q", len(lines), text, want, lines)
+	}
+	for _, line := range lines {
+		if !strings.Contains(line, alsoIn) {
+			c.t.Errorf("line %q, want %s in it", line, alsoIn)
+		}
+	}
+}
+
 // infoLines are the lines at info, with a text in them, that controllers have logged.
 func (c *cluster) infoLines(text string) []string {
 	c.t.Helper()
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -31,23 +31,13 @@
 			[]string{"outage began", "lasted=7s", "outage began", "lasted=22s"}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			var out bytes.Buffer
-			monitor := outage.NewMonitor(slog.New(slog.NewTextHandler(&out, nil)), "store", 5*time.Second)
-			start := time.Unix(1e9, 0)
-			for _, o := range x.seen {
-				now := start.Add(time.Duration(o.atS * float64(time.Second)))
-				if o.answered {
-					monitor.Answered(now)
-				} else {
-					monitor.Failed(now)
-				}
-			}
-			lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-			if out.Len() == 0 {
+			out := linesAfter(x.seen)
+			lines := strings.Split(strings.TrimSpace(out), "\n")
+			if out == "" {
 				lines = nil
 			}
 			if len(lines) != len(x.want) {
-				t.Fatalf("%d lines, want %d:\n%s", len(lines), len(x.want), out.String())
+				t.Fatalf("%d lines, want %d:\n%s", len(lines), len(x.want), out)
 			}
 			for i, want := range x.want {
 				if !strings.Contains(lines[i], want) || !strings.Contains(lines[i], "of=store") {
@@ -58,6 +48,22 @@
 	}
 }
 
+// linesAfter are the lines of a monitor that is told of observations.
+func linesAfter(seen []observation) string {
+	var out bytes.Buffer
+	monitor := outage.NewMonitor(slog.New(slog.NewTextHandler(&out, nil)), "store", 5*time.Second)
+	start := time.Unix(1e9, 0)
+	for _, o := range seen {
+		now := start.Add(time.Duration(o.atS * float64(time.Second)))
+		if o.answered {
+			monitor.Answered(now)
+		} else {
+			monitor.Failed(now)
+		}
+	}
+	return out.String()
+}
+
 // What a monitor forgets has no end to tell of.
 func TestForget(t *testing.T) {
 	var out bytes.Buffer
