--- a/internal/controller/partition.go
+++ b/internal/controller/partition.go
@@ -70,7 +70,10 @@
 // by this controller as the partition's owner. Tokens are revisions of one store: one of another
 // partition may be between two of this one.
 func (p *partition) isOwnToken(token uint64) bool {
-	return token >= p.firstToken && (token >= p.token || slices.Contains(p.ownTokens, token))
+	if token < p.firstToken {
+		return false
+	}
+	return token == p.firstToken || token >= p.token || slices.Contains(p.ownTokens, token)
 }
 
 // reservation is a reserved cell whose binding is not stored yet.
