review: a late status hides a restarted controller from the leader for good

A controller ends twice, and a late copy of a status of its first process reaches the leader, which then ignores the statuses of the running process. A job waits beside an empty machine of that controller.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -16,6 +16,8 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.log.add("test: case %s, trouble %v", os.Args[1], trouble)
 	switch os.Args[1] {
+	case "late-status":
+		lateStatus(w, trouble)
 	case "repeated-start":
 		repeatedStart(w, trouble)
 	case "long-history":
