review: a job that must stay in one zone runs in two after it has lost a machine

In one pass the leader moves the job's waiting tasks to another zone and assigns its remaining tasks to the former one.

--- a/review/_standin/cloud.go
+++ b/review/_standin/cloud.go
@@ -22,7 +22,11 @@
 	"trawler": {"trawler", 16, 32, 0.91, 0.28, 25, 0.8, 60},
 }
 
-const listLag = 12 * time.Second
+const (
+	listLag = 12 * time.Second
+	// stoppedListing is the time for which a machine that has stopped is still listed as running.
+	stoppedListing = 30 * time.Second
+)
 
 // cloudServer is a stand-in for the cloud. Each controller reaches it at an address of its own, so
 // that the record shows which controller sent a request.
@@ -48,12 +52,13 @@
 }
 
 type rental struct {
-	name, kind string
-	isSpot     bool
-	created    time.Time
-	up         time.Time // zero until the machine is up
-	gone       time.Time // zero until it is gone
-	worker     *worker
+	name, kind, zone string
+	isSpot           bool
+	created          time.Time
+	up               time.Time // zero until the machine is up
+	gone             time.Time // zero until it is gone
+	worker           *worker
+	stopped          time.Time // zero until it stops by itself
 }
 
 func newCloud(w *world) *cloudServer {
@@ -61,11 +66,11 @@
 }
 
 // add creates a machine that comes up after boot.
-func (c *cloudServer) add(kind string, isSpot bool, created time.Time, boot time.Duration) string {
+func (c *cloudServer) add(kind, zone string, isSpot bool, created time.Time, boot time.Duration) string {
 	c.last++
 	name := fmt.Sprintf("host-%06d", c.last)
-	m := &rental{name: name, kind: kind, isSpot: isSpot, created: created}
-	m.worker = newWorker(c.w, name, kind, isSpot)
+	m := &rental{name: name, kind: kind, zone: zone, isSpot: isSpot, created: created}
+	m.worker = newWorker(c.w, name, kind, zone, isSpot)
 	c.machines = append(c.machines, m)
 	time.AfterFunc(boot, func() {
 		c.mu.Lock()
@@ -92,13 +97,21 @@
 	defer c.mu.Unlock()
 	var up []*rental
 	for _, m := range c.machines {
-		if m.gone.IsZero() && !m.up.IsZero() {
+		if m.gone.IsZero() && !m.up.IsZero() && m.stopped.IsZero() {
 			up = append(up, m)
 		}
 	}
 	return up
 }
 
+// stop stops a machine with all that is on it.
+func (c *cloudServer) stop(m *rental) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.stopped = time.Now()
+	m.worker.stop()
+}
+
 func (c *cloudServer) handler(node string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !c.requests.take(1) {
@@ -111,7 +124,7 @@
 			var hulls []object
 			for _, t := range machineTypes {
 				hulls = append(hulls, object{"label": t.name, "cpus": t.cpus, "cards": 0, "ramGb": t.ram, "cacheGb": t.gb, "pullGbPerS": t.pull,
-					"price": t.price, "spotPrice": t.spot, "startupS": t.boot, "shores": []string{"sundarban"}})
+					"price": t.price, "spotPrice": t.spot, "startupS": t.boot, "shores": c.w.zones})
 			}
 			reply(w, 200, object{"hulls": hulls})
 		case r.URL.Path == "/rentals" && r.Method == http.MethodGet:
@@ -139,8 +152,10 @@
 		tide := "running"
 		if m.up.IsZero() || m.up.After(at) {
 			tide = "starting"
+		} else if !m.stopped.IsZero() && at.Sub(m.stopped) > stoppedListing {
+			tide = "failed"
 		}
-		rows = append(rows, object{"nameId": m.name, "addr": m.worker.addr, "hull": m.kind, "shore": "sundarban", "driftwood": m.isSpot,
+		rows = append(rows, object{"nameId": m.name, "addr": m.worker.addr, "hull": m.kind, "shore": m.zone, "driftwood": m.isSpot,
 			"tide": tide, "heldS": at.Sub(m.created).Seconds()})
 	}
 	most, err := strconv.Atoi(r.URL.Query().Get("most"))
@@ -155,6 +170,7 @@
 	var body struct {
 		Charter   string `json:"charter"`
 		Hull      string `json:"hull"`
+		Shore     string `json:"shore"`
 		Driftwood bool   `json:"driftwood"`
 		HowMany   int    `json:"howMany"`
 	}
@@ -177,7 +193,7 @@
 	if !repeated {
 		for range body.HowMany {
 			boot := t.boot * (0.6 + 0.9*rand.Float64())
-			names = append(names, c.add(body.Hull, body.Driftwood, time.Now(), time.Duration(boot*float64(time.Second))))
+			names = append(names, c.add(body.Hull, body.Shore, body.Driftwood, time.Now(), time.Duration(boot*float64(time.Second))))
 		}
 		c.byKey[body.Charter] = names
 	}
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -20,13 +20,13 @@
 
 // addMachineOf creates the next machine that is in a partition. Names in between belong to
 // machines that were returned earlier.
-func (c *cloudServer) addMachineOf(partition int, boot time.Duration) string {
+func (c *cloudServer) addMachineOf(partition int, kind, zone string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for partitionOf(fmt.Sprintf("host-%06d", c.last+1)) != partition {
 		c.last++
 	}
-	return c.add("trawler", false, time.Now(), boot)
+	return c.add(kind, zone, false, time.Now(), 0)
 }
 
 // service returns a job whose tasks each take a whole machine.
--- a/review/_standin/late_status.go
+++ b/review/_standin/late_status.go
@@ -16,8 +16,8 @@
 		unusable("%s leads", name)
 	}
 	w.cloud.full = true // there are three machines, and no more to rent
-	w.cloud.addMachineOf(0, 0)
-	w.cloud.addMachineOf(1, 0)
+	w.cloud.addMachineOf(0, "trawler", "sundarban")
+	w.cloud.addMachineOf(1, "trawler", "sundarban")
 	first := w.service("wk-000001", 2)
 	w.submit(first, w.nodes...)
 	if !waitFor(20*time.Second, func() bool { return w.runningTasks(first) == 2 }) {
@@ -39,7 +39,7 @@
 	}
 	time.Sleep(time.Second)
 	w.log.add("test: the trouble is over")
-	third := w.cloud.addMachineOf(2, 0)
+	third := w.cloud.addMachineOf(2, "trawler", "sundarban")
 	time.Sleep(5 * time.Second)
 	second := w.service("wk-000002", 1)
 	w.submit(second, w.nodes...)
--- a/review/_standin/long_history.go
+++ b/review/_standin/long_history.go
@@ -21,7 +21,7 @@
 // longHistory ends all controllers of a service that has run for some days, and starts them again.
 func longHistory(w *world, trouble bool) {
 	w.startAll()
-	w.cloud.addMachineOf(0, 0)
+	w.cloud.addMachineOf(0, "trawler", "sundarban")
 	running := w.service("wk-000001", 1)
 	running.CPUs = 2
 	w.submit(running, w.nodes...)
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -16,12 +16,16 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.log.add("test: case %s, trouble %v", os.Args[1], trouble)
 	switch os.Args[1] {
+	case "stale-leader":
+		staleLeader(w, trouble)
 	case "late-status":
 		lateStatus(w, trouble)
 	case "repeated-start":
 		repeatedStart(w, trouble)
 	case "long-history":
 		longHistory(w, trouble)
+	case "two-zones":
+		twoZones(w, trouble)
 	default:
 		unusable("no case %s", os.Args[1])
 	}
--- a/review/_standin/repeated_start.go
+++ b/review/_standin/repeated_start.go
@@ -15,7 +15,7 @@
 	w.startAll()
 	w.cloud.full = true // there are two machines, and no more to rent
 	x := w.nodes[2]     // the owner of the first machine
-	first := w.cloud.addMachineOf(2, 0)
+	first := w.cloud.addMachineOf(2, "trawler", "sundarban")
 	worker := w.cloud.find(first).worker
 	// A small service keeps the machine in use throughout.
 	keeper := w.service("wk-000003", 1)
@@ -35,7 +35,7 @@
 	if !waitFor(25*time.Second, func() bool { return strings.Contains(strings.Join(worker.running(), " "), urgent.ID) }) {
 		unusable("the urgent job did not start")
 	}
-	second := w.cloud.addMachineOf(1, 0)
+	second := w.cloud.addMachineOf(1, "trawler", "sundarban")
 	other := w.cloud.find(second).worker
 	if !waitFor(30*time.Second, func() bool { return len(other.running()) == 1 }) {
 		unusable("the first job does not go on on the second machine")
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -13,7 +13,7 @@
 )
 
 // storeServer is a stand-in for the state service. Each controller reaches it at an address of
-// its own, so that a fault can concern one controller only.
+// its own, so that the record shows which controller sent a request.
 type storeServer struct {
 	mu       sync.Mutex
 	log      *record
@@ -28,8 +28,6 @@
 	writes   *bucket
 	maxOps   int
 	maxValue int
-	// refuses names the controllers whose requests get 503.
-	refuses map[string]bool
 	// latency is the time that each answer takes.
 	latency time.Duration
 	// tooMany counts the answers 429 by controller, listed the pages of keys.
@@ -57,18 +55,12 @@
 
 func newStore(log *record) *storeServer {
 	s := &storeServer{log: log, entries: map[string]entry{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{}),
-		requests: newBucket(150, 150), writes: newBucket(60, 60), maxOps: 32, maxValue: 8 << 10, refuses: map[string]bool{},
+		requests: newBucket(150, 150), writes: newBucket(60, 60), maxOps: 32, maxValue: 8 << 10,
 		latency: 5 * time.Millisecond, tooMany: map[string]int{}, listed: map[string]int{}}
 	go s.expireLeases()
 	return s
 }
 
-func (s *storeServer) setRefusal(node string, refuse bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refuses[node] = refuse
-}
-
 // holder returns the controller that holds a leased key, and the key's revision.
 func (s *storeServer) holder(key string) (string, uint64) {
 	s.mu.Lock()
@@ -199,13 +191,6 @@
 // handler returns the service as one controller sees it.
 func (s *storeServer) handler(node string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		refused := s.refuses[node]
-		s.mu.Unlock()
-		if refused {
-			reply(w, 503, object{"error": "trouble"})
-			return
-		}
 		if !s.requests.take(1) {
 			s.mu.Lock()
 			s.tooMany[node]++
@@ -218,7 +203,7 @@
 		case path == "/txn":
 			s.txn(w, r, node)
 		case path == "/watch":
-			s.watch(w, r, node)
+			s.watch(w, r)
 		case path == "/kv":
 			s.list(w, r, node)
 		case strings.HasPrefix(path, "/kv/"):
@@ -305,7 +290,7 @@
 	return string(raw)
 }
 
-func (s *storeServer) watch(w http.ResponseWriter, r *http.Request, node string) {
+func (s *storeServer) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
 	waitMS, _ := strconv.Atoi(q.Get("waitMs"))
@@ -329,17 +314,13 @@
 				news = append(news, object{"write": e.key, "v": e.value, "stamp": e.revision})
 			}
 		}
-		revision, changed, refused := s.revision, s.changed, s.refuses[node]
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		left := time.Until(deadline)
-		// Open watches of a controller that is refused wait, as in an outage.
-		if !refused && (len(news) > 0 || left <= 0) {
+		if len(news) > 0 || left <= 0 {
 			reply(w, 200, object{"logmark": revision, "news": news})
 			return
 		}
-		if refused {
-			left = time.Second
-		}
 		select {
 		case <-changed:
 		case <-time.After(left):
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -24,12 +24,14 @@
 	w      *world
 	name   string
 	kind   string
+	zone   string
 	isSpot bool
 	addr   string
 	server *http.Server
 
 	mu       sync.Mutex
 	dead     bool
+	silent   bool // the machine has stopped: connections to it hang
 	session  uint64
 	tally    uint64
 	token    uint64
@@ -81,13 +83,14 @@
 
 func (t *task) name() string { return fmt.Sprintf("%s/%d", t.job.ID, t.number) }
 
-func newWorker(w *world, name, kind string, isSpot bool) *worker {
-	a := &worker{w: w, name: name, kind: kind, isSpot: isSpot, session: 1, images: map[string]bool{}, wake: make(chan struct{}, 1)}
+func newWorker(w *world, name, kind, zone string, isSpot bool) *worker {
+	a := &worker{w: w, name: name, kind: kind, zone: zone, isSpot: isSpot, session: 1, images: map[string]bool{}, wake: make(chan struct{}, 1)}
 	listener := listen()
 	a.addr = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/do", a.do)
-	mux.HandleFunc("/inspect", func(rw http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("/inspect", func(rw http.ResponseWriter, r *http.Request) {
+		a.hang(r)
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		reply(rw, 200, a.report())
@@ -123,6 +126,31 @@
 	go a.server.Close()
 }
 
+// stop stops the machine with all that is on it. Connections to it hang from then on.
+func (a *worker) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dead, a.silent = true, true
+	for _, t := range a.tasks {
+		if t.state != "ended" {
+			a.w.log.add("worker %s: %s launch %d is gone, the machine has stopped (was %s)", a.name, t.name(), t.attempt, t.state)
+			t.timer.Stop()
+			a.leave(t)
+		}
+	}
+	a.tasks = nil
+}
+
+// hang waits until the sender gives up if the machine has stopped.
+func (a *worker) hang(r *http.Request) {
+	a.mu.Lock()
+	silent := a.silent
+	a.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+	}
+}
+
 // report returns the current report. The caller holds the lock.
 func (a *worker) report() object {
 	a.tally++
@@ -134,7 +162,7 @@
 		}
 		eggs = append(eggs, egg)
 	}
-	return object{"perch": a.name, "addr": a.addr, "hull": a.kind, "shore": "sundarban", "driftwood": a.isSpot, "watch": a.session,
+	return object{"perch": a.name, "addr": a.addr, "hull": a.kind, "shore": a.zone, "driftwood": a.isSpot, "watch": a.session,
 		"tally": a.tally, "baton": a.token, "warningS": nil, "eggs": eggs}
 }
 
@@ -245,6 +273,7 @@
 		Calls []command `json:"calls"`
 	}
 	raw, _ := io.ReadAll(r.Body)
+	a.hang(r)
 	if json.Unmarshal(raw, &body) != nil || body.Baton == nil || body.Watch == nil {
 		reply(rw, 400, object{"error": "malformed"})
 		return
@@ -370,6 +399,17 @@
 	}
 }
 
+// finish completes the tasks of a job.
+func (a *worker) finish(j *jobSpec) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range a.tasks {
+		if t.job == j && t.state == "running" && !a.dead {
+			a.end(t, "done")
+		}
+	}
+}
+
 func (a *worker) end(t *task, cause string) {
 	t.timer.Stop()
 	a.leave(t)
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -48,6 +48,8 @@
 
 	mu   sync.Mutex
 	jobs map[string]*jobSpec
+	// zones are the zones of the deployment.
+	zones []string
 	// placements says when tasks begin and cease to be on a machine, in order.
 	placements []placement
 }
@@ -74,6 +76,9 @@
 	Tasks              int
 	CPUs, RAM, ImageGB float64
 	run                time.Duration
+	// Zone is the only allowed zone, "" for any. SamePlace is set if all tasks must be in one zone.
+	Zone      string
+	SamePlace bool
 }
 
 func listen() net.Listener {
@@ -126,7 +131,7 @@
 	if err != nil {
 		unusable("%v", err)
 	}
-	w := &world{log: &record{file: file, start: time.Now()}, dir: dir, jobs: map[string]*jobSpec{}}
+	w := &world{log: &record{file: file, start: time.Now()}, dir: dir, jobs: map[string]*jobSpec{}, zones: []string{"sundarban"}}
 	current = w
 	w.state = newStore(w.log)
 	w.cloud = newCloud(w)
@@ -146,18 +151,19 @@
 // settings returns the settings of a controller: those of the smaller deployment.
 func (w *world) settings(n *node) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "node_name = %q\nlocation = \"sundarban\"\napi_addr = %q\nmesh_addr = %q\n", n.name, n.api, n.mesh)
+	fmt.Fprintf(&b, "node_name = %q\nlocation = %q\napi_addr = %q\nmesh_addr = %q\n", n.name, w.zones[0], n.api, n.mesh)
 	for _, other := range w.nodes {
 		if other != n {
 			mesh := other.mesh
 			if proxy := n.meshOf[other.name]; proxy != "" {
 				mesh = proxy
 			}
-			fmt.Fprintf(&b, "[[siblings]]\nnode_name = %q\nlocation = \"sundarban\"\npeer_addr = %q\n", other.name, mesh)
+			fmt.Fprintf(&b, "[[siblings]]\nnode_name = %q\nlocation = %q\npeer_addr = %q\n", other.name, w.zones[0], mesh)
 		}
 	}
 	fmt.Fprintf(&b, "[external]\ncloud = %q\nstate = %q\n", n.cloudAddr, n.stateAddr)
-	fmt.Fprintf(&b, "[settings]\ncount = 3\nzones = [\"sundarban\"]\nskew_ms = 1000.0\n")
+	zones, _ := json.Marshal(w.zones)
+	fmt.Fprintf(&b, "[settings]\ncount = 3\nzones = %s\nskew_ms = 1000.0\n", zones)
 	for _, t := range teams {
 		fmt.Fprintf(&b, "[[settings.teams]]\nname = %q\ncpus = %.1f\ncpus_max = %.1f\ngpus = 0.0\ngpus_max = 0.0\n", t.name, t.guaranteed, t.max)
 	}
@@ -250,8 +256,12 @@
 	if j.Service {
 		shape = "daemon"
 	}
+	var zone any
+	if j.Zone != "" {
+		zone = j.Zone
+	}
 	body, _ := json.Marshal(object{"nameId": j.ID, "flock": j.Class, "crew": j.Team, "shape": shape, "rank": j.Rank, "eggs": j.Tasks,
-		"cpus": j.CPUs, "cards": 0.0, "ramGb": j.RAM, "plumage": j.Image, "imageGb": j.ImageGB, "hulls": nil, "shore": nil, "samePlace": false,
+		"cpus": j.CPUs, "cards": 0.0, "ramGb": j.RAM, "plumage": j.Image, "imageGb": j.ImageGB, "hulls": nil, "shore": zone, "samePlace": j.SamePlace,
 		"spread": false, "driftwood": false, "reckonS": j.run.Seconds(), "moultS": 0.0, "stowS": 0.0, "dueS": nil})
 	for try := range 20 {
 		n := nodes[try%len(nodes)]
