--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -12,6 +12,9 @@
 	var commands []wire.Command
 	view, records := c.reconcileView(m, p)
 	for _, difference := range reconcile.Differences(view, records) {
+		if difference.Kind == reconcile.UnexpectedTask {
+			c.log.Info("unexpected task on a machine", "machine", m.name, "task", difference.TaskName, "attempt", difference.Attempt, "token", m.token)
+		}
 		if command, ok := difference.Command(); ok {
 			commands = append(commands, command)
 		}
--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -87,6 +87,9 @@
 	if len(commands) == 0 {
 		timeout = workerclient.PingTimeout
 	}
+	if len(commands) > 0 {
+		c.log.Debug("direct commands sent", "machine", m.name, "incarnation", m.incarnation, "token", request.token, "commands", commands)
+	}
 	addr := m.addr
 	// The deadline counts from the decision, not from the time of sending: a process that was
 	// suspended in between must not send commands that may have been revoked meanwhile.
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -53,6 +53,9 @@
 	GraceS *float64 `json:"slackS,omitempty"`
 }
 
+// String returns the command in the form in which it is logged.
+func (c Command) String() string { return fmt.Sprintf("%s %s attempt %d", c.Op, c.Task, c.Attempt) }
+
 // HeartbeatResponse is the response to a heartbeat. A worker ignores a response whose fencing token
 // is lower than the highest that it has seen.
 type HeartbeatResponse struct {
