--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -1,13 +1,18 @@
 package controller
 
 import (
+	"slices"
+
 	"eiderhitch/internal/reconcile"
 	"eiderhitch/internal/scheduling"
 	"eiderhitch/internal/wire"
 )
 
 // commandsFor returns the commands that bring a machine in line with the records, as far as its
-// newest heartbeat shows.
+// newest heartbeat shows. They must be sent under the token that partition.commandToken returns
+// afterwards: a forget command raises it above the token of every start command that a direct
+// request has carried to the machine. Once the worker has forgotten an attempt, it thus refuses a
+// repeated request to start it.
 func (c *partitionOwner) commandsFor(m *machine, p *partition) []wire.Command {
 	var commands []wire.Command
 	view, records := c.reconcileView(m, p)
@@ -19,6 +24,9 @@
 			commands = append(commands, command)
 		}
 	}
+	if slices.ContainsFunc(commands, isForgetCommand) {
+		c.raiseCommandToken(m, p, m.commandState.directStartToken)
+	}
 	return commands
 }
 
--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -22,7 +22,7 @@
 type directRequest struct {
 	machine   *machine
 	partition *partition
-	token     uint64 // the partition's token at sentAt
+	token     uint64 // the token that it carries
 	sentAt    time.Time
 }
 
@@ -44,7 +44,7 @@
 		c.directSlots.Enqueue(m, workerclient.PurposeCommands)
 		return
 	}
-	if commands := c.commandsFor(m, p); len(commands) > 0 {
+	if commands := directCommands(c.commandsFor(m, p)); len(commands) > 0 {
 		c.sendDirectRequest(m, p, commands)
 	}
 }
@@ -81,8 +81,11 @@
 	c.directSlots.Acquire(m)
 	m.commandState.inFlight, m.commandState.sendAgain = true, false
 	m.commandState.carriesStart = slices.ContainsFunc(commands, isStartCommand)
-	request := directRequest{machine: m, partition: p, token: p.token, sentAt: c.now}
-	body := &wire.CommandRequest{FencingToken: p.token, Incarnation: m.incarnation, Commands: commands}
+	request := directRequest{machine: m, partition: p, token: p.commandToken(m), sentAt: c.now}
+	if m.commandState.carriesStart {
+		m.commandState.directStartToken = request.token
+	}
+	body := &wire.CommandRequest{FencingToken: request.token, Incarnation: m.incarnation, Commands: commands}
 	timeout := workerclient.Timeout
 	if len(commands) == 0 {
 		timeout = workerclient.PingTimeout
@@ -109,7 +112,22 @@
 	}()
 }
 
-func isStartCommand(command wire.Command) bool { return command.Op == wire.OpStart }
+func isStartCommand(command wire.Command) bool  { return command.Op == wire.OpStart }
+func isForgetCommand(command wire.Command) bool { return command.Op == wire.OpForget }
+
+// directCommands returns the commands that a direct request may carry, which the network may
+// repeat minutes later. A forget command is among them only if the same request starts a later
+// attempt of the task: repeated, it can't make the worker forget an attempt that is bound again,
+// as the replacement of a gang's task may be. All others wait for the next heartbeat response,
+// which is never executed late.
+func directCommands(commands []wire.Command) []wire.Command {
+	return slices.DeleteFunc(slices.Clone(commands), func(command wire.Command) bool {
+		startsLaterAttempt := func(other wire.Command) bool {
+			return isStartCommand(other) && other.Task == command.Task && other.Attempt > command.Attempt
+		}
+		return isForgetCommand(command) && !slices.ContainsFunc(commands, startsLaterAttempt)
+	})
+}
 
 // handleDirectFailure handles a request that got no response. Its commands may be executed
 // minutes later, as long as token and incarnation match: until the machine has received a higher
@@ -139,7 +157,7 @@
 	if heartbeat.Machine != m.name {
 		return // the address now belongs to another machine
 	}
-	if p.token != 0 && heartbeat.FencingToken <= p.token {
+	if p.token != 0 && c.coversToken(m, p, heartbeat.FencingToken) {
 		c.applyHeartbeat(m, heartbeat, p, directCommandResponse)
 	}
 	if m.commandState.sendAgain || !executed {
--- a/internal/controller/failover.go
+++ b/internal/controller/failover.go
@@ -95,7 +95,7 @@
 		if p.key != key {
 			continue
 		}
-		p.setToken(token)
+		p.token = token
 		p.cancelWrites()
 		if key == c.leaderKey() {
 			c.leadership.token = token
@@ -125,8 +125,7 @@
 // cells from it.
 func (c *controller) takeOverPartition(p *partition, token uint64) {
 	p.firstToken, p.ownedSince, p.takeoverComplete = token, c.now, false
-	p.recentTokens = nil
-	p.setToken(token)
+	p.token = token
 	p.cells, p.reservations = scheduling.NewPartition(), map[scheduling.TaskID]reservation{}
 	// A former owner's last read may have begun just before it lost the key, and it may go on
 	// answering heartbeats for the maximum staleness after that read. This process can't know
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -36,7 +36,7 @@
 	}
 	m := c.getOrAddMachine(heartbeat.Machine)
 	p := c.partitions[m.partition]
-	if refusal, refused := c.refuseHeartbeat(heartbeat, p); refused {
+	if refusal, refused := c.refuseHeartbeat(heartbeat, m, p); refused {
 		return refusal
 	}
 	// The response renews the lease from the time the heartbeat was sent. An outdated heartbeat
@@ -50,19 +50,20 @@
 	if sentBefore.After(m.leaseRenewedAt) {
 		m.leaseRenewedAt = sentBefore
 	}
-	response := wire.HeartbeatResponse{FencingToken: p.token, Commands: []wire.Command{}}
+	response := wire.HeartbeatResponse{Commands: []wire.Command{}}
 	if newer && !m.terminated && p.takeoverComplete {
 		response.Commands = append(response.Commands, c.commandsFor(m, p)...)
 		for _, command := range response.Commands {
 			m.responseCarriesStart = m.responseCarriesStart || isStartCommand(command)
 		}
 	}
+	response.FencingToken = p.commandToken(m) // the commands may have raised it
 	return api.Response{Status: http.StatusOK, Body: response}
 }
 
 // refuseHeartbeat returns the response to a heartbeat that this controller must not act on.
 // refused is false if it may act on it.
-func (c *controller) refuseHeartbeat(heartbeat *wire.Heartbeat, p *partition) (refusal api.Response, refused bool) {
+func (c *controller) refuseHeartbeat(heartbeat *wire.Heartbeat, m *machine, p *partition) (refusal api.Response, refused bool) {
 	if p.token == 0 {
 		holder, ok := c.election.Holder(p.key)
 		if !ok || holder.Node == c.cfg.Name {
@@ -71,7 +72,7 @@
 		c.metrics.count(countRedirectedHeartbeats, 1)
 		return api.Response{Status: http.StatusMisdirectedRequest, Body: wire.Redirect{Node: holder.Node}}, true
 	}
-	if heartbeat.FencingToken > p.token {
+	if !c.coversToken(m, p, heartbeat.FencingToken) {
 		// A later owner has contacted the machine, so this controller has been replaced.
 		return api.Response{Status: http.StatusMisdirectedRequest, Body: wire.Redirect{}}, true
 	}
@@ -106,7 +107,7 @@
 	if p.takeoverComplete && !m.terminated {
 		c.reconcile(m, p)
 	}
-	if source == workerRequest && (m.hasMissedResponses || !p.isOwnToken(m.token)) {
+	if source == workerRequest && (m.hasMissedResponses || !p.isOwnToken(m, m.token)) {
 		c.ping(m, p) // an answer proves that the machine receives requests and has seen the current token
 	}
 	if needsPass {
@@ -139,7 +140,7 @@
 func (c *partitionOwner) handleNewIncarnation(m *machine, incarnation uint64) {
 	c.log.Info("machine begins a new incarnation", "machine", m.name, "incarnation", incarnation)
 	m.cachedImages, m.fetchStartedAt = map[string]bool{}, map[string]time.Time{}
-	m.commandState.unansweredStartToken, m.responseCarriesStart = 0, false
+	m.commandState.unansweredStartToken, m.commandState.directStartToken, m.responseCarriesStart = 0, 0, false
 	m.hasMissedResponses = !m.leaseRenewedAt.IsZero()
 }
 
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -103,7 +103,7 @@
 // late copy, after a failover even one of a machine that died long ago, and a new owner has no
 // earlier heartbeat to compare it with.
 func (c *clusterState) isUsable(m *machine, p *partition) bool {
-	hasCurrentHeartbeat := m.heartbeatAt.After(p.machineOwnedSince(m)) && m.incarnation > 0 && p.isOwnToken(m.token)
+	hasCurrentHeartbeat := m.heartbeatAt.After(p.machineOwnedSince(m)) && m.incarnation > 0 && p.isOwnToken(m, m.token)
 	return hasCurrentHeartbeat && !m.terminated && !m.isNotReceiving(p) && c.now.Sub(m.heartbeatAt) < c.usableTimeout()
 }
 
--- a/internal/controller/loans.go
+++ b/internal/controller/loans.go
@@ -70,24 +70,24 @@
 		c.loans[name] = loan
 	}
 	loan.MachineLoan, loan.revision = *v, revision
-	if !c.updateMachinePartition(m) && !loan.Acknowledged {
+	if !c.updateMachinePartition(m, revision) && !loan.Acknowledged {
 		c.sendCommandsNow(m) // stops the tasks that the job may preempt
 	}
 }
 
-// deleteLoan applies the deletion of a loan. If the machine returns to a partition of this
-// controller, the partition's token is raised to fence the leader's commands.
-func (a recordApplier) deleteLoan(name string) {
+// deleteLoan applies the deletion of a loan at revision. If the machine returns to a partition of
+// this controller, the partition's token is raised to fence the leader's commands.
+func (a recordApplier) deleteLoan(name string, revision uint64) {
 	m := a.getOrAddMachine(name)
 	delete(a.loans, name)
-	if p := a.partitions[m.hashPartition]; a.updateMachinePartition(m) && p.token != 0 {
+	if p := a.partitions[m.hashPartition]; a.updateMachinePartition(m, revision) && p.token != 0 {
 		p.tokenRaiseDue = true
 	}
 }
 
 // updateMachinePartition moves a machine to the partition that it belongs to according to the
-// stored records, and reports whether that is a different one than before.
-func (c *clusterState) updateMachinePartition(m *machine) bool {
+// records stored at revision, and reports whether that is a different one than before.
+func (c *clusterState) updateMachinePartition(m *machine, revision uint64) bool {
 	before, now := m.partition, c.partitionOfMachine(m)
 	if now == before {
 		return false
@@ -95,7 +95,7 @@
 	c.log.Info("machine changes partitions", "machine", m.name, "from", before, "to", now)
 	p := c.partitions[before]
 	p.removeMachines(func(other *machine) bool { return other == m })
-	m.partition, m.partitionChangedAt = now, c.now
+	m.partition, m.partitionChangedAt, m.partitionSince = now, c.now, revision
 	c.addMachineToPartition(m)
 	if p.token != 0 {
 		for _, x := range m.bindings { // services that change partitions with the machine
@@ -115,7 +115,7 @@
 // change partitions with its tasks: their ends are proven and stored later, as after any
 // failover.
 func (c *clusterState) runsOnlyServices(m *machine, p *partition) bool {
-	if !c.isUsable(m, p) || m.token != p.token || m.commandState.inFlight || m.hasStartInFlight(p) {
+	if !c.isUsable(m, p) || m.commandState.inFlight || m.hasStartInFlight() {
 		return false
 	}
 	for _, x := range m.bindings {
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -24,15 +24,21 @@
 	// zero if that has not happened.
 	partitionChangedAt time.Time
 	lastBoundAt        time.Time
-	bindings           machineBindings // according to the stored records
-	terminated         bool            // a stored tombstone names the machine, or it has never come up
+	// partitionSince is the revision at which the machine changed partitions last, or 0 if it has
+	// not. Tokens of its earlier owners are lower.
+	partitionSince uint64
+	bindings       machineBindings // according to the stored records
+	terminated     bool            // a stored tombstone names the machine, or it has never come up
 
 	// The fields below come from the machine's heartbeats, or are maintained by the owner of its
 	// partition. Until the first heartbeat, incarnation may come from records or peers.
 
 	incarnation, sequence uint64 // of the latest heartbeat
 	token                 uint64 // highest fencing token that the machine's agent has seen
-	heartbeatAt           time.Time
+	// raisedToken is the token of the commands to this machine if it is higher than that of the
+	// partition; see raiseCommandToken.
+	raisedToken uint64
+	heartbeatAt time.Time
 	// leaseRenewedAt is the latest time from which a response may have renewed the machine's
 	// lease; see handleHeartbeat.
 	leaseRenewedAt        time.Time
@@ -75,17 +81,27 @@
 	// start may still arrive until the machine has seen a higher token. 0 means that there is
 	// none.
 	unansweredStartToken uint64
+	// directStartToken is the highest token under which a direct request carried a start command to
+	// the agent's current incarnation. The request may be repeated, and is then executed again
+	// unless the machine has seen a higher token. 0 means that there was none.
+	directStartToken uint64
 	// backoffUntil is the time before which no request is sent.
 	backoffUntil time.Time
 	// unanswered counts the requests that were not answered since the last answer.
 	unanswered int
 }
 
-// hasStartInFlight reports whether a start command that was sent to the machine may still
-// arrive: in a heartbeat response, in a direct command in flight, or in a direct command that
-// was sent under the owner's current token and not answered.
-func (m *machine) hasStartInFlight(p *partition) bool {
-	return m.commandState.unansweredStartToken == p.token || m.commandState.carriesStart || m.responseCarriesStart
+// hasStartInFlight reports whether a start command that was sent to the machine may still arrive
+// for the first time: in a heartbeat response, in a direct command in flight, or in a direct
+// command that was not answered, unless the machine has seen a higher token.
+func (m *machine) hasStartInFlight() bool {
+	return m.hasUnansweredStart() || m.commandState.carriesStart || m.responseCarriesStart
+}
+
+// hasUnansweredStart reports whether a start command in a direct command that was not answered may
+// still arrive.
+func (m *machine) hasUnansweredStart() bool {
+	return m.commandState.unansweredStartToken != 0 && m.token <= m.commandState.unansweredStartToken
 }
 
 // machineBindings lists the tasks bound to a machine. It is a slice because it is short and is
--- a/internal/controller/machine_records.go
+++ b/internal/controller/machine_records.go
@@ -23,11 +23,12 @@
 // share one value.
 func (c *clusterState) reconcileView(m *machine, p *partition) (reconcile.MachineState, *machineRecords) {
 	view := reconcile.MachineState{
-		Incarnation:    m.incarnation,
-		TokenConfirmed: m.token == p.token,
-		StartInFlight:  m.hasStartInFlight(p),
-		StartsAllowed:  c.isFresh(c.operator.LeaseTTL),
-		Tasks:          m.tasks,
+		Incarnation:     m.incarnation,
+		TokenConfirmed:  p.isOwnToken(m, m.token),
+		StartInFlight:   m.hasStartInFlight(),
+		StartRepeatable: !c.canRaiseCommandToken(m, p, m.commandState.directStartToken),
+		StartsAllowed:   c.isFresh(c.operator.LeaseTTL),
+		Tasks:           m.tasks,
 	}
 	c.reconcileRecords = machineRecords{clusterState: c, machine: m, partition: p}
 	return view, &c.reconcileRecords
--- a/internal/controller/partition.go
+++ b/internal/controller/partition.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"time"
 
 	"eiderhitch/internal/scheduling"
@@ -20,9 +19,7 @@
 	// controller does not own it. firstToken is the first token since ownedSince, when the lease
 	// was last acquired.
 	token, firstToken uint64
-	// recentTokens holds the newest tokens since ownedSince, at most maxRecentTokens of them.
-	recentTokens []uint64
-	ownedSince   time.Time
+	ownedSince        time.Time
 	// takeoverComplete is set once the replica has been read after the lease was acquired and the
 	// cells have been rebuilt from it.
 	takeoverComplete bool
@@ -66,31 +63,6 @@
 	unreachableCountedAt time.Time
 }
 
-// maxRecentTokens limits how many tokens of a partition are kept. A machine whose heartbeat shows
-// an older one is pinged with the current token.
-const maxRecentTokens = 32
-
-// setToken records a new fencing token of this controller's lease.
-func (p *partition) setToken(token uint64) {
-	p.token = token
-	p.recentTokens = append(p.recentTokens, token)
-	if excess := len(p.recentTokens) - maxRecentTokens; excess > 0 {
-		p.recentTokens = slices.Delete(p.recentTokens, 0, excess)
-	}
-}
-
-// isOwnToken reports whether a token was issued to this controller as the partition's owner, or
-// is newer than its current one. If it is the highest token that a machine has received, the
-// machine has received a message under this ownership. Tokens are revisions of one key-value
-// store, so tokens of other partitions lie between two tokens of this one; comparing with
-// firstToken is not enough.
-func (p *partition) isOwnToken(token uint64) bool {
-	if token < p.firstToken {
-		return false
-	}
-	return token == p.firstToken || token >= p.token || slices.Contains(p.recentTokens, token)
-}
-
 // reservation is a reserved cell whose binding is not stored yet.
 type reservation struct {
 	machine     *machine
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -11,7 +11,7 @@
 func (c *partitionOwner) reconcile(m *machine, p *partition) {
 	// A start command that got no response may still arrive until the machine has received a
 	// higher token.
-	if m.commandState.unansweredStartToken == p.token && m.commandState.unansweredStartToken != 0 && !m.commandState.inFlight {
+	if m.hasUnansweredStart() && m.commandState.unansweredStartToken >= p.commandToken(m) && !m.commandState.inFlight {
 		p.tokenRaiseDue = true
 	}
 	view, records := c.reconcileView(m, p)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// DeleteValue applies the deletion of a value.
-func (a recordApplier) DeleteValue(key string) {
+// DeleteValue applies the deletion of a value at revision.
+func (a recordApplier) DeleteValue(key string, revision uint64) {
 	kind, name := parseKey(key)
 	switch {
 	case kind == groupKind:
@@ -32,7 +32,7 @@
 	case kind == tombstoneKind:
 		a.deleteTombstone(key)
 	case kind == loanKind:
-		a.deleteLoan(name)
+		a.deleteLoan(name, revision)
 	case key == rollout.StateKey:
 		a.setRolloutState(rollout.InitialState, 0, nil)
 	case strings.HasPrefix(key, rollout.RegistrationPrefix):
--- a/internal/reconcile/differences.go
+++ b/internal/reconcile/differences.go
@@ -14,7 +14,7 @@
 	// not exited. It is stopped without time to save.
 	UnexpectedTask DifferenceKind = iota
 	// ForgettableExitedTask means that an attempt that is not bound has exited, and no start
-	// command for it can arrive any more. The worker may forget it.
+	// command for it can be executed any more. The worker may forget it.
 	ForgettableExitedTask
 	// RetainedExitedTask means that an attempt that is not bound has exited, and a start command
 	// for it may still arrive. If the worker had forgotten the attempt, it would run it again, so
@@ -105,7 +105,7 @@
 		return UnreadableRecord
 	case status.State != wire.StateExited:
 		return UnexpectedTask
-	case !machine.isStartRuledOut():
+	case !machine.isStartRuledOut() || machine.StartRepeatable:
 		return RetainedExitedTask
 	}
 	return ForgettableExitedTask
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -14,6 +14,11 @@
 // direct command without a response, or in the response to a heartbeat that the worker may not
 // have processed yet. A machine whose heartbeat has shown a fencing token executes no command
 // with a lower token, and an agent refuses commands for an earlier incarnation of itself.
+//
+// A direct command that was executed and answered may also arrive again, unchanged, minutes later.
+// It has no effect while the worker lists the attempt. After the worker has forgotten the attempt,
+// it would run it again unless it has seen a higher token: a command to forget an attempt must
+// carry a higher token than every direct command that may have started it.
 package reconcile
 
 import (
@@ -32,6 +37,9 @@
 	TokenConfirmed bool
 	// StartInFlight is set if a start command from the current owner may still arrive.
 	StartInFlight bool
+	// StartRepeatable is set if a direct request that has started a task may be repeated and would
+	// then be executed again, even after a command to forget an attempt that is sent now.
+	StartRepeatable bool
 	// StartsAllowed is set if the records are recent enough to start tasks based on them.
 	StartsAllowed bool
 	// Tasks holds the tasks of the newest heartbeat, in its order.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,8 +22,9 @@
 type Handler interface {
 	// PutValue processes a value that is new or has changed.
 	PutValue(key string, value json.RawMessage, revision uint64)
-	// DeleteValue removes a value that was passed to PutValue before.
-	DeleteValue(key string)
+	// DeleteValue removes a value that was passed to PutValue before. revision is that of the
+	// deletion, or a later one if the deletion was found by a full read.
+	DeleteValue(key string, revision uint64)
 	// ChangesApplied is called after the changes of a watch have been applied, with the time at
 	// which that began.
 	ChangesApplied(begun time.Time)
@@ -156,7 +157,7 @@
 		return
 	}
 	delete(r.revisions, key)
-	r.handler.DeleteValue(key)
+	r.handler.DeleteValue(key, revision)
 }
 
 // Forget stops tracking a key that is never written again, so that memory does not grow with the
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -23,7 +23,7 @@
 type valueMap map[string]string
 
 func (m valueMap) PutValue(key string, value json.RawMessage, _ uint64) { m[key] = string(value) }
-func (m valueMap) DeleteValue(key string)                               { delete(m, key) }
+func (m valueMap) DeleteValue(key string, _ uint64)                     { delete(m, key) }
 func (m valueMap) ChangesApplied(time.Time)                             {}
 
 // fakeStore is an in-memory key-value store that keeps its whole history.
--- a/internal/simulation/network/network.go
+++ b/internal/simulation/network/network.go
@@ -84,7 +84,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.transportCount++
-	return &Transport{network: n, seed: n.transportCount + 1, delay: defaultDelay}
+	return &Transport{network: n, seed: n.transportCount + 1, delay: randomDelay{minimum: defaultDelay}, repeatDelay: randomDelay{minimum: defaultRepeatDelay}}
 }
 
 // handler returns the handler of an address, or nil if there is none.
--- a/internal/simulation/network/transport.go
+++ b/internal/simulation/network/transport.go
@@ -20,6 +20,7 @@
 	ExecuteLate               // the request is executed after a delay and its response is lost, so the caller times out
 	DropResponse              // the request is executed at once and its response is lost, so the caller times out
 	Delay                     // the request is executed and answered after a delay, or not at all if the caller times out first
+	Repeat                    // the request is delivered as with Deliver; if it was answered, it is executed again, unchanged, after a delay
 )
 
 // FaultPolicy selects the fault of a request. It must be safe for concurrent use.
@@ -28,6 +29,8 @@
 const (
 	// defaultDelay is the delay of ExecuteLate and Delay unless SetDelay changes it.
 	defaultDelay = 5 * time.Second
+	// defaultRepeatDelay is the delay of Repeat unless SetRepeatDelay changes it.
+	defaultRepeatDelay = 2 * time.Minute
 	// minLatency is the minimum latency of a request without a fault.
 	minLatency = 2 * time.Millisecond
 )
@@ -42,17 +45,36 @@
 	network *Network
 	seed    uint64
 
-	mu     sync.Mutex
-	policy FaultPolicy
-	delay  time.Duration
-	jitter time.Duration
+	mu          sync.Mutex
+	policy      FaultPolicy
+	delay       randomDelay // of ExecuteLate and Delay
+	repeatDelay randomDelay // of Repeat
+}
+
+// randomDelay is a minimum delay and the maximum random addition to it.
+type randomDelay struct{ minimum, jitter time.Duration }
+
+// draw returns a random delay for a request at the current time.
+func (d randomDelay) draw(seed uint64, request string) time.Duration {
+	if d.jitter == 0 {
+		return d.minimum
+	}
+	return d.minimum + time.Duration(SeededFloat64(seed, request)*float64(d.jitter))
 }
 
 // SetDelay sets the delay of ExecuteLate and Delay, and the maximum random addition to it.
 func (t *Transport) SetDelay(delay, jitter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.delay, t.jitter = delay, jitter
+	t.delay = randomDelay{delay, jitter}
+}
+
+// SetRepeatDelay sets the delay of Repeat, counted from the response, and the maximum random
+// addition to it.
+func (t *Transport) SetRepeatDelay(delay, jitter time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.repeatDelay = randomDelay{delay, jitter}
 }
 
 // SetFaultPolicy sets the policy that selects the fault of each request. With a nil policy all
@@ -66,15 +88,16 @@
 // selectFault returns the fault of a request, and the delay to use if the fault has one.
 func (t *Transport) selectFault(r *http.Request) (Fault, time.Duration) {
 	t.mu.Lock()
-	policy, delay, jitter := t.policy, t.delay, t.jitter
+	policy, delay, repeatDelay := t.policy, t.delay, t.repeatDelay
 	t.mu.Unlock()
-	if jitter > 0 {
-		delay += time.Duration(SeededFloat64(t.seed, "late"+r.URL.String()) * float64(jitter))
-	}
 	if policy == nil {
-		return Deliver, delay
+		return Deliver, 0
 	}
-	return policy(r), delay
+	fault := policy(r)
+	if fault == Repeat {
+		delay = repeatDelay
+	}
+	return fault, delay.draw(t.seed, "late"+r.URL.String())
 }
 
 // RoundTrip delivers a request or applies the fault that the policy selects for it.
@@ -98,7 +121,11 @@
 	case Delay:
 		return t.deliverAfter(delay, r, body)
 	}
-	return t.deliverAfter(t.network.requestLatency(t.seed, r.Method+r.URL.String()+string(body)), r, body)
+	response, err := t.deliverAfter(t.network.requestLatency(t.seed, r.Method+r.URL.String()+string(body)), r, body)
+	if fault == Repeat && err == nil {
+		go t.executeAfter(delay, r, body)
+	}
+	return response, err
 }
 
 // readBody reads and closes a request's body, as the contract of http.RoundTripper demands.
--- a/internal/simulation/network/transport_test.go
+++ b/internal/simulation/network/transport_test.go
@@ -19,11 +19,11 @@
 
 // faultOutcome is the observed effect of a fault on a request.
 type faultOutcome struct {
-	answered           bool          // the caller received a response
-	elapsed            time.Duration // how long RoundTrip took, truncated to seconds
-	executedOnReturn   bool          // the handler had run when RoundTrip returned
-	executedEventually bool          // the handler had run a minute later
-	wantError          error
+	answered         bool          // the caller received a response
+	elapsed          time.Duration // how long RoundTrip took, truncated to seconds
+	executedOnReturn bool          // the handler had run when RoundTrip returned
+	executions       int64         // how often the handler had run a minute later
+	wantError        error
 }
 
 // Each fault has its documented effect on the caller and on the execution of the request.
@@ -34,13 +34,14 @@
 		timeout time.Duration
 		want    faultOutcome
 	}{
-		{"deliver", Deliver, callerTimeout, faultOutcome{true, 0, true, true, nil}},
-		{"refuse", Refuse, callerTimeout, faultOutcome{false, 0, false, false, ErrConnectionRefused}},
-		{"drop", Drop, callerTimeout, faultOutcome{false, callerTimeout, false, false, context.DeadlineExceeded}},
-		{"execute late", ExecuteLate, callerTimeout, faultOutcome{false, callerTimeout, false, true, context.DeadlineExceeded}},
-		{"drop response", DropResponse, callerTimeout, faultOutcome{false, callerTimeout, true, true, context.DeadlineExceeded}},
-		{"delay", Delay, 2 * testDelay, faultOutcome{true, testDelay, true, true, nil}},
-		{"delay beyond the timeout", Delay, callerTimeout, faultOutcome{false, callerTimeout, false, false, context.DeadlineExceeded}},
+		{"deliver", Deliver, callerTimeout, faultOutcome{true, 0, true, 1, nil}},
+		{"refuse", Refuse, callerTimeout, faultOutcome{false, 0, false, 0, ErrConnectionRefused}},
+		{"drop", Drop, callerTimeout, faultOutcome{false, callerTimeout, false, 0, context.DeadlineExceeded}},
+		{"execute late", ExecuteLate, callerTimeout, faultOutcome{false, callerTimeout, false, 1, context.DeadlineExceeded}},
+		{"drop response", DropResponse, callerTimeout, faultOutcome{false, callerTimeout, true, 1, context.DeadlineExceeded}},
+		{"delay", Delay, 2 * testDelay, faultOutcome{true, testDelay, true, 1, nil}},
+		{"delay beyond the timeout", Delay, callerTimeout, faultOutcome{false, callerTimeout, false, 0, context.DeadlineExceeded}},
+		{"repeat", Repeat, callerTimeout, faultOutcome{true, 0, true, 2, nil}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { checkFault(t, x.fault, x.timeout, x.want) })
@@ -51,11 +52,12 @@
 // checkFault checks the outcome of one request with the given fault and timeout.
 func checkFault(t *testing.T, fault Fault, timeout time.Duration, want faultOutcome) {
 	t.Helper()
-	var executed atomic.Bool
+	var executions atomic.Int64
 	network := New(t.Context())
-	network.Serve(testAddr, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { executed.Store(true) }))
+	network.Serve(testAddr, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { executions.Add(1) }))
 	transport := network.NewTransport()
 	transport.SetDelay(testDelay, 0)
+	transport.SetRepeatDelay(testDelay, 0)
 	transport.SetFaultPolicy(func(*http.Request) Fault { return fault })
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
@@ -65,7 +67,7 @@
 	}
 	startedAt := time.Now()
 	resp, err := transport.RoundTrip(req)
-	got := faultOutcome{answered: resp != nil, elapsed: time.Since(startedAt).Truncate(time.Second), executedOnReturn: executed.Load(), wantError: want.wantError}
+	got := faultOutcome{answered: resp != nil, elapsed: time.Since(startedAt).Truncate(time.Second), executedOnReturn: executions.Load() > 0, wantError: want.wantError}
 	if resp != nil {
 		resp.Body.Close()
 	}
@@ -73,7 +75,7 @@
 		t.Errorf("RoundTrip error: %v, want %v", err, want.wantError)
 	}
 	time.Sleep(time.Minute)
-	got.executedEventually = executed.Load()
+	got.executions = executions.Load()
 	if got != want {
 		t.Errorf("outcome %+v, want %+v", got, want)
 	}
