Tests: generated schedules repeat requests that were carried out, and a rule for forgotten attempts

Direct commands, transactions, calls about leases, calls to the cloud, heartbeats and users' requests are now repeated unchanged, 1 s to 3 minutes later: TestGeneratedRepeats adds drawn repeats to the schedules of TestGeneratedFaultSchedules, whose own draws stay as they are. Agents record when they forget an attempt; rules.Check reports a start under a number that a machine was told to forget (forgotten_attempt), also if no other rule is broken by it.

--- a/internal/controller/fault_effects_test.go
+++ b/internal/controller/fault_effects_test.go
@@ -21,6 +21,12 @@
 	lateTransactions:         partialRequestFault(isTransactionRequest, network.ExecuteLate),
 	lostResponses:            partialRequestFault(isTransactionRequest, network.DropResponse),
 	lateCommands:             partialRequestFault(isAgentRequest, network.ExecuteLate),
+	repeatedCommands:         partialRequestFault(isAgentRequest, network.Repeat),
+	repeatedTransactions:     partialRequestFault(isTransactionRequest, network.Repeat),
+	repeatedLeaseRequests:    partialRequestFault(isLeaseRequest, network.Repeat),
+	repeatedCloudRequests:    partialRequestFault(isCloudRequest, network.Repeat),
+	repeatedHeartbeats:       (*scheduleRun).repeatHeartbeats,
+	repeatedUserRequests:     (*scheduleRun).repeatUserRequests,
 	agentsUnreachable:        (*scheduleRun).blockAgents,
 	peersUnreachable:         (*scheduleRun).blockPeers,
 	storeAndPeersUnreachable: (*scheduleRun).blockStoreAndPeers,
@@ -77,6 +83,14 @@
 // isTransactionRequest reports whether a request is a transaction of the key-value store.
 func isTransactionRequest(r *http.Request) bool { return isStoreRequest(r) && r.URL.Path == "/txn" }
 
+// isLeaseRequest reports whether a request grants, renews or revokes a lease of the key-value store.
+func isLeaseRequest(r *http.Request) bool {
+	return isStoreRequest(r) && strings.HasPrefix(r.URL.Path, "/leases")
+}
+
+// isCloudRequest reports whether a request goes to the cloud.
+func isCloudRequest(r *http.Request) bool { return r.URL.Host == simulation.CloudAddr }
+
 // isAgentRequest reports whether a request goes to an agent: machines have addresses in 10.1.
 func isAgentRequest(r *http.Request) bool { return strings.HasPrefix(r.URL.Host, "10.1.") }
 
--- a/internal/controller/fault_generator_test.go
+++ b/internal/controller/fault_generator_test.go
@@ -89,6 +89,57 @@
 	})
 }
 
+// repeatTemplates are the repeats of requests that schedules with repeats are drawn from, with the
+// durations that are scaled randomly. They are no part of faultTemplates, so that the schedules of
+// TestGeneratedFaultSchedules stay the same.
+var repeatTemplates = []fault{
+	{kind: repeatedCommands, target: allNodes, duration: 80, share: 0.5},
+	{kind: repeatedTransactions, target: allNodes, duration: 80, share: 0.2},
+	{kind: repeatedLeaseRequests, target: allNodes, duration: 80, share: 0.3},
+	{kind: repeatedCloudRequests, target: allNodes, duration: 80, share: 0.5},
+	{kind: repeatedHeartbeats, duration: 60, share: 0.2},
+	{kind: repeatedUserRequests, duration: 80, share: 0.3},
+}
+
+// repeatSeed is the second part of the seed for drawing repeats.
+const repeatSeed = 17
+
+// repeatScheduleCount returns the number of generated schedules for each test that repeats requests,
+// half of generatedScheduleCount.
+func repeatScheduleCount() uint64 { return uint64(*generatedScheduleCount+1) / 2 }
+
+// No rule may be broken either if requests that were carried out are repeated under a schedule of
+// TestGeneratedFaultSchedules. A long search: see CONTRIBUTING.md.
+func TestGeneratedRepeats(t *testing.T) {
+	t.Parallel()
+	for seed := *firstSeed; seed < *firstSeed+repeatScheduleCount(); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			faults := append(generateSchedule(seed), generateRepeats(seed)...)
+			sortByTime(faults)
+			logScheduleOnFailure(t, seed, faults)
+			const jobs = 10
+			runFaults(t, seed, jobs, faults)
+		})
+	}
+}
+
+// generateRepeats draws repeats of at least one kind of request. The same seed gives the same ones.
+func generateRepeats(seed uint64) []fault {
+	rng := rand.New(rand.NewPCG(seed, repeatSeed))
+	var repeats []fault
+	certain := rng.IntN(len(repeatTemplates))
+	for i, f := range repeatTemplates {
+		if drawn := rng.IntN(2) == 0; !drawn && i != certain {
+			continue
+		}
+		f.at = float64(rng.IntN(200)) / 10
+		f.duration *= 0.4 + 0.8*rng.Float64()
+		repeats = append(repeats, f)
+	}
+	return repeats
+}
+
 // generateSchedule draws a schedule of 7 to 12 faults. The same seed gives the same schedule.
 func generateSchedule(seed uint64) []fault {
 	rng := rand.New(rand.NewPCG(seed, generatorSeed))
--- a/internal/controller/fault_machine_effects_test.go
+++ b/internal/controller/fault_machine_effects_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// repeatHeartbeats makes the network deliver a share of the heartbeats again, to the same controller
+// and long after the response.
+func (s *scheduleRun) repeatHeartbeats(f fault) func() {
+	policy := s.policyForShare(f.share, isAnyRequest, network.Repeat)
+	agents := s.env.Cloud.Agents()
+	for _, a := range agents {
+		a.Transport().SetRepeatDelay(minRepeatDelay, repeatDelayJitter)
+		a.Transport().SetFaultPolicy(policy)
+	}
+	return func() {
+		for _, a := range agents {
+			a.Transport().SetFaultPolicy(nil)
+		}
+	}
+}
+
 // saveHeartbeats saves the last heartbeat of each machine for resendHeartbeats.
 func (s *scheduleRun) saveHeartbeats(fault) func() {
 	for _, a := range s.env.Cloud.Agents() {
--- a/internal/controller/fault_schedule_test.go
+++ b/internal/controller/fault_schedule_test.go
@@ -44,6 +44,10 @@
 	// random delay in addition.
 	minRequestDelay    = 2 * time.Second
 	requestDelayJitter = 10 * time.Second
+	// minRepeatDelay is the minimum delay of repeated requests, and repeatDelayJitter the largest
+	// random delay in addition.
+	minRepeatDelay    = time.Second
+	repeatDelayJitter = 3 * time.Minute
 	// maxRecoveryTime is how long after the last fault users may have to wait for a response.
 	maxRecoveryTime = 75 * time.Second
 )
@@ -84,6 +88,7 @@
 	for i, n := range c.nodes {
 		s.policies = append(s.policies, map[int]network.FaultPolicy{})
 		n.transport.SetDelay(minRequestDelay, requestDelayJitter)
+		n.transport.SetRepeatDelay(minRepeatDelay, repeatDelayJitter)
 		n.transport.SetFaultPolicy(func(r *http.Request) network.Fault { return s.chooseFault(i, r) })
 	}
 	return s
--- a/internal/controller/fault_test.go
+++ b/internal/controller/fault_test.go
@@ -32,6 +32,12 @@
 	lateTransactions         faultKind = "lateTransactions"         // a share of transactions is executed long after the caller's timeout
 	lostResponses            faultKind = "lostResponses"            // a share of transactions is executed, but the responses are lost
 	lateCommands             faultKind = "lateCommands"             // a share of direct commands is executed long after the caller's timeout
+	repeatedCommands         faultKind = "repeatedCommands"         // a share of direct commands is executed again long after its response
+	repeatedTransactions     faultKind = "repeatedTransactions"     // a share of transactions is executed again long after its response
+	repeatedLeaseRequests    faultKind = "repeatedLeaseRequests"    // a share of grants, renewals and revocations of leases is executed again
+	repeatedCloudRequests    faultKind = "repeatedCloudRequests"    // a share of the requests to the cloud is executed again
+	repeatedHeartbeats       faultKind = "repeatedHeartbeats"       // a share of heartbeats is delivered again to the same controller
+	repeatedUserRequests     faultKind = "repeatedUserRequests"     // a share of users' requests is executed again
 	agentsUnreachable        faultKind = "agentsUnreachable"        // a controller and the agents can't reach each other
 	peersUnreachable         faultKind = "peersUnreachable"         // a controller and its peers can't reach each other
 	storeAndPeersUnreachable faultKind = "storeAndPeersUnreachable" // a controller can reach neither the store nor its peers
--- a/internal/controller/fault_user_effects_test.go
+++ b/internal/controller/fault_user_effects_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eiderhitch/internal/simulation/agent"
+	"eiderhitch/internal/simulation/network"
 	"eiderhitch/internal/wire"
 )
 
@@ -253,3 +254,14 @@
 	go s.trySubmit(job)
 	return id
 }
+
+// isAnyRequest returns true.
+func isAnyRequest(*http.Request) bool { return true }
+
+// repeatUserRequests makes the network execute a share of users' requests again, long after the
+// response.
+func (s *scheduleRun) repeatUserRequests(f fault) func() {
+	s.clientTransport.SetRepeatDelay(minRepeatDelay, repeatDelayJitter)
+	s.clientTransport.SetFaultPolicy(s.policyForShare(f.share, isAnyRequest, network.Repeat))
+	return func() { s.clientTransport.SetFaultPolicy(nil) }
+}
--- a/internal/simulation/agent/commands.go
+++ b/internal/simulation/agent/commands.go
@@ -74,6 +74,7 @@
 func (a *Agent) executeForget(command *wire.Command) {
 	if t := a.tasks[command.Task]; t != nil && t.attempt == command.Attempt && t.state == wire.StateExited {
 		delete(a.tasks, command.Task)
+		a.fleet.recorder.Record(trace.TaskForgotten{At: time.Now(), Task: command.Task, Machine: a.instance.Name, Attempt: command.Attempt})
 		a.requestReport()
 	}
 }
--- a/internal/simulation/rules/check.go
+++ b/internal/simulation/rules/check.go
@@ -17,20 +17,21 @@
 
 // The rules, each with its requirement.
 const (
-	InvalidTrace         Rule = "trace"         // the events of the trace are consistent
-	StartedWhileInUse    Rule = "in_use"        // a task isn't started on a machine that has another attempt of it
-	UnknownJob           Rule = "unknown_job"   // a task isn't started if its job's specification wasn't uploaded
-	RanOnTwoMachines     Rule = "ran_twice"     // a task is on at most one machine at a time
-	OverlappingAttempts  Rule = "two_attempts"  // a gang's task isn't started while an earlier attempt is on machines
-	WrongPlacement       Rule = "wrong_place"   // tasks run only on machines and in zones that their job allows
-	QuotaExceeded        Rule = "quota"         // a team doesn't exceed its quota
-	RanAfterCancellation Rule = "ran_cancelled" // tasks of a cancelled job stop within CancellationTimeout
-	UnsubmittedJob       Rule = "invented"      // only submitted jobs are reported as known
-	AcceptedJobLost      Rule = "forgotten"     // accepted jobs stay known, and their queries are answered
-	FinalStateChanged    Rule = "went_back"     // a final state doesn't change, and jobs are cancelled only on request
-	DoneTooEarly         Rule = "not_done"      // a job is done only when all its tasks have completed
-	NoTaskStarted        Rule = "nothing_ran"   // at least one task starts if a job was accepted
-	WaitsDespiteCapacity Rule = "waits"         // a job doesn't wait for more than maxWait while there is room for it
+	InvalidTrace         Rule = "trace"             // the events of the trace are consistent
+	StartedWhileInUse    Rule = "in_use"            // a task isn't started on a machine that has another attempt of it
+	UnknownJob           Rule = "unknown_job"       // a task isn't started if its job's specification wasn't uploaded
+	RanOnTwoMachines     Rule = "ran_twice"         // a task is on at most one machine at a time
+	StartedAfterForget   Rule = "forgotten_attempt" // a task isn't started under the number of an attempt that a machine was told to forget
+	OverlappingAttempts  Rule = "two_attempts"      // a gang's task isn't started while an earlier attempt is on machines
+	WrongPlacement       Rule = "wrong_place"       // tasks run only on machines and in zones that their job allows
+	QuotaExceeded        Rule = "quota"             // a team doesn't exceed its quota
+	RanAfterCancellation Rule = "ran_cancelled"     // tasks of a cancelled job stop within CancellationTimeout
+	UnsubmittedJob       Rule = "invented"          // only submitted jobs are reported as known
+	AcceptedJobLost      Rule = "forgotten"         // accepted jobs stay known, and their queries are answered
+	FinalStateChanged    Rule = "went_back"         // a final state doesn't change, and jobs are cancelled only on request
+	DoneTooEarly         Rule = "not_done"          // a job is done only when all its tasks have completed
+	NoTaskStarted        Rule = "nothing_ran"       // at least one task starts if a job was accepted
+	WaitsDespiteCapacity Rule = "waits"             // a job doesn't wait for more than maxWait while there is room for it
 )
 
 // refusalRules maps the reason for refusing a start command to the rule that the command
@@ -106,6 +107,9 @@
 		if t := c.tasks[e.Task]; t != nil && t.machine.name == e.Machine {
 			c.removeTask(t)
 		}
+	case trace.TaskForgotten:
+		j := c.job(trace.JobID(e.Task))
+		j.forgotten[e.Task] = max(j.forgotten[e.Task], e.Attempt)
 	case trace.TaskCompleted:
 		c.job(trace.JobID(e.Task)).completed[e.Task] = true // a saved result may be reported more than once
 	case trace.StartRefused:
@@ -131,6 +135,7 @@
 	}
 	t.machine, t.attempt = m, e.Attempt
 	c.checkAttempts(t)
+	c.checkForgotten(t)
 	m.used = m.used.Plus(t.job.taskResources())
 }
 
--- a/internal/simulation/rules/check_test.go
+++ b/internal/simulation/rules/check_test.go
@@ -123,11 +123,17 @@
 	oneRun := run("wk-1/0", "m1", 2, 9)
 	twoRuns := slices.Concat(oneRun, run("wk-1/1", "m1", 2, 9))
 	otherJob := slices.Concat([]trace.Event{submit(testJob("wk-2"))}, run("wk-2/0", "m3", 4, 6))
+	forgotten := func(attempt uint64) []trace.Event {
+		return append(runAttempt(attempt, "wk-1/0", "m1", 2, 9), trace.TaskForgotten{At: timeAt(10), Task: "wk-1/0", Machine: "m1", Attempt: attempt})
+	}
 	return []ruleCase{
 		{"on two machines at a time", RanOnTwoMachines, 0, oneRun, run("wk-1/0", "m3", 5, 8)},
 		{"on two machines one after the other", "", 0, oneRun, run("wk-1/0", "m3", 9.5, 12)},
 		{"limit", QuotaExceeded, 0, twoRuns, otherJob},
 		{"team within its quota after a task stopped", "", 0, slices.Concat(run("wk-1/0", "m1", 2, 3), run("wk-1/1", "m1", 2, 9)), otherJob},
+		{"forgotten attempt started again", StartedAfterForget, 0, forgotten(1), runAttempt(1, "wk-1/0", "m1", 12, 14)},
+		{"earlier attempt than the forgotten one", StartedAfterForget, 0, forgotten(2), runAttempt(1, "wk-1/0", "m3", 12, 14)},
+		{"next attempt after the forgotten one", "", 0, forgotten(1), runAttempt(2, "wk-1/0", "m1", 12, 14)},
 		{"spot machine", WrongPlacement, 0, oneRun, run("wk-1/1", "m2", 3, 5)},
 	}
 }
--- a/internal/simulation/rules/model.go
+++ b/internal/simulation/rules/model.go
@@ -13,15 +13,16 @@
 // job is the state of a job as far as the trace shows it.
 type job struct {
 	id                string
-	spec              *wire.Job       // nil if the trace has no valid submission
-	submittedAt       time.Time       // earliest submission request; zero if the whole trace has none
-	cancelRequestedAt time.Time       // earliest cancellation request; zero if the whole trace has none
-	acceptedAt        time.Time       // first response that reports the job as known; zero until then
-	finalState        string          // as first reported to a user; "" until then
-	finalAt           time.Time       // when finalState was reported
-	completed         map[string]bool // names of the tasks with a saved result
-	unansweredSince   time.Time       // first of the current series of failed queries; zero if the last one was answered
-	waitingSince      time.Time       // since when the job has waited despite room; zero if it doesn't
+	spec              *wire.Job         // nil if the trace has no valid submission
+	submittedAt       time.Time         // earliest submission request; zero if the whole trace has none
+	cancelRequestedAt time.Time         // earliest cancellation request; zero if the whole trace has none
+	acceptedAt        time.Time         // first response that reports the job as known; zero until then
+	finalState        string            // as first reported to a user; "" until then
+	finalAt           time.Time         // when finalState was reported
+	completed         map[string]bool   // names of the tasks with a saved result
+	forgotten         map[string]uint64 // by task, the highest attempt that a machine was told to forget
+	unansweredSince   time.Time         // first of the current series of failed queries; zero if the last one was answered
+	waitingSince      time.Time         // since when the job has waited despite room; zero if it doesn't
 }
 
 // task is a task that a machine has accepted and that hasn't stopped since.
@@ -54,7 +55,7 @@
 // submitted.
 func (c *checker) job(id string) *job {
 	if c.jobs[id] == nil {
-		c.jobs[id] = &job{id: id, completed: map[string]bool{}}
+		c.jobs[id] = &job{id: id, completed: map[string]bool{}, forgotten: map[string]uint64{}}
 	}
 	return c.jobs[id]
 }
--- a/internal/simulation/trace/trace.go
+++ b/internal/simulation/trace/trace.go
@@ -52,6 +52,14 @@
 	Task, Machine string
 }
 
+// TaskForgotten records that a machine has forgotten an exited attempt of a task, as a controller
+// told it to.
+type TaskForgotten struct {
+	At            time.Time
+	Task, Machine string
+	Attempt       uint64
+}
+
 // TaskCompleted records that the result of a task was saved.
 type TaskCompleted struct {
 	At   time.Time
@@ -114,6 +122,9 @@
 // Time returns when the task stopped running on its machine.
 func (e TaskStopped) Time() time.Time { return e.At }
 
+// Time returns when the machine forgot the attempt.
+func (e TaskForgotten) Time() time.Time { return e.At }
+
 // Time returns when the result was saved.
 func (e TaskCompleted) Time() time.Time { return e.At }
 
