Accept a controller's status only from its latest connection: a late copy hid the controller

The leader ignores the running process for good, and a job waits beside its empty machine. Besides, a status that arrives once more minutes later counted as the present one, also from the same process: its machines' flags decide which machines the leader terminates.

Cause: frames have no number, and the registry told only the last two processes apart, by remembering the one before. A copy from two processes ago was taken for a restart.

Fix: a controller has one connection to each peer at a time, and frames on a connection are in order, so the registry drops what arrives on an earlier connection than the last status. Connections are numbered as they are accepted, which only rises; no number of processes matters. The frame stays the same.

The generated schedules repeat frames of broken connections.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -44,6 +44,9 @@
 	// change; nil: they never do.
 	queryAllUntil atomic.Pointer[time.Time]
 
+	// frames delivers the frames between controllers.
+	frames frameNetwork
+
 	mu sync.Mutex // guards the fields that several goroutines of a test share
 	// readableLevels holds the range of levels that each process reads, by process ID.
 	readableLevels map[string]rollout.LevelRange
@@ -314,6 +317,6 @@
 			c.t.Errorf("frame from %s to %s: %v", from.cfg.Name, to, err)
 			return
 		}
-		go receiver.controller.enqueue(priorityWorkers, func() { receiver.controller.handlePeerStatus(status) })
+		c.frames.deliver(status, receiver)
 	}
 }
--- a/internal/controller/fault_effects_test.go
+++ b/internal/controller/fault_effects_test.go
@@ -27,6 +27,7 @@
 	repeatedCloudRequests:    partialRequestFault(isCloudRequest, network.Repeat),
 	repeatedHeartbeats:       (*scheduleRun).repeatHeartbeats,
 	repeatedUserRequests:     (*scheduleRun).repeatUserRequests,
+	repeatedFrames:           (*scheduleRun).repeatFrames,
 	agentsUnreachable:        (*scheduleRun).blockAgents,
 	peersUnreachable:         (*scheduleRun).blockPeers,
 	storeAndPeersUnreachable: (*scheduleRun).blockStoreAndPeers,
--- a/internal/controller/fault_generator_test.go
+++ b/internal/controller/fault_generator_test.go
@@ -99,6 +99,7 @@
 	{kind: repeatedCloudRequests, target: allNodes, duration: 80, share: 0.5},
 	{kind: repeatedHeartbeats, duration: 60, share: 0.2},
 	{kind: repeatedUserRequests, duration: 80, share: 0.3},
+	{kind: repeatedFrames, target: allNodes, duration: 80, share: 0.1},
 }
 
 // repeatSeed is the second part of the seed for drawing repeats.
--- a/internal/controller/fault_test.go
+++ b/internal/controller/fault_test.go
@@ -38,6 +38,7 @@
 	repeatedCloudRequests    faultKind = "repeatedCloudRequests"    // a share of the requests to the cloud is executed again
 	repeatedHeartbeats       faultKind = "repeatedHeartbeats"       // a share of heartbeats is delivered again to the same controller
 	repeatedUserRequests     faultKind = "repeatedUserRequests"     // a share of users' requests is executed again
+	repeatedFrames           faultKind = "repeatedFrames"           // connections between controllers break, and deliver their last frame again later
 	agentsUnreachable        faultKind = "agentsUnreachable"        // a controller and the agents can't reach each other
 	peersUnreachable         faultKind = "peersUnreachable"         // a controller and its peers can't reach each other
 	storeAndPeersUnreachable faultKind = "storeAndPeersUnreachable" // a controller can reach neither the store nor its peers
--- a/internal/controller/full_fleet_test.go
+++ b/internal/controller/full_fleet_test.go
@@ -99,7 +99,7 @@
 // for an hour.
 func (c *controller) addOwnerStatus(node string, partition int) {
 	status := &peer.Status{Node: node, ReplicaIsFresh: true, CanTakePartitions: true, Partitions: []uint64{uint64(partition)}}
-	c.peers.Update(status, c.now.Add(time.Hour))
+	c.peers.Update(status, 1, c.now.Add(time.Hour))
 }
 
 // takeLeadership makes the controller the owner of partition 0 and the leader, both since an
--- a/internal/controller/peer_status.go
+++ b/internal/controller/peer_status.go
@@ -56,10 +56,10 @@
 	return flags
 }
 
-// handlePeerStatus applies a status received from a peer. The list of draining machines is taken
-// from the leader only.
-func (c *controller) handlePeerStatus(status *peer.Status) {
-	if !c.peers.Update(status, c.now) || c.ownerOf(c.leaderKey()) != status.Node {
+// handlePeerStatus applies a status received from a peer on a connection. The list of draining
+// machines is taken from the leader only.
+func (c *controller) handlePeerStatus(status *peer.Status, connection peer.ConnectionNumber) {
+	if !c.peers.Update(status, connection, c.now) || c.ownerOf(c.leaderKey()) != status.Node {
 		return
 	}
 	c.autoscaler.ObserveDraining(status.DrainingMachines)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -124,8 +124,8 @@
 }
 
 // enqueuePeerStatus queues a status received from a peer for the event loop.
-func (c *controller) enqueuePeerStatus(status *peer.Status) {
-	c.enqueue(priorityWorkers, func() { c.handlePeerStatus(status) })
+func (c *controller) enqueuePeerStatus(status *peer.Status, connection peer.ConnectionNumber) {
+	c.enqueue(priorityWorkers, func() { c.handlePeerStatus(status, connection) })
 }
 
 // minAPIRequests is the lowest limit of user requests that are handled concurrently, however few
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -22,15 +22,20 @@
 	acceptRetryInterval = 100 * time.Millisecond
 )
 
-// Serve accepts connections from peers on l and calls handle with each status that they send. It
-// calls handle concurrently. When ctx ends, it closes l and all connections and returns. An invalid
+// ConnectionNumber numbers the connections that Serve has accepted, in the order in which they were
+// accepted. Statuses that arrive on one connection are in the order in which they were sent.
+type ConnectionNumber uint64
+
+// Serve accepts connections from peers on l and calls handle with each status that they send and the
+// number of its connection. It calls handle concurrently. When ctx ends, it closes l and all connections and returns. An invalid
 // frame closes its own connection but does not affect the others.
-func Serve(ctx context.Context, l net.Listener, log *slog.Logger, handle func(*Status)) {
+func Serve(ctx context.Context, l net.Listener, log *slog.Logger, handle func(*Status, ConnectionNumber)) {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
 	var connections sync.WaitGroup
 	defer connections.Wait()
 	slots := make(chan struct{}, maxConnections)
+	var accepted ConnectionNumber
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -50,9 +55,11 @@
 			conn.Close()
 			continue
 		}
+		accepted++
+		number := accepted
 		connections.Go(func() {
 			defer func() { <-slots }()
-			receive(ctx, conn, log, handle)
+			receive(ctx, conn, log, func(status *Status) { handle(status, number) })
 		})
 	}
 }
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -19,9 +19,8 @@
 	// ReachableSince is the start of the current period in which statuses have arrived without a gap
 	// longer than Timeout.
 	ReachableSince time.Time
-	// previousProcessID is the id of the process that the peer ran before its current one. Frames
-	// of that process may still arrive.
-	previousProcessID string
+	// connection is the number of the connection that Status arrived on.
+	connection ConnectionNumber
 }
 
 // HasRecentStatus reports whether the peer has sent a status and the last one arrived less than
@@ -57,24 +56,19 @@
 	}
 }
 
-// Update records a status that arrived at now. It reports whether the status was accepted: it is
-// ignored if its sender is not a controller of the cluster, or is a process that a newer process of
-// the controller has already replaced.
-func (r *Registry) Update(status *Status, now time.Time) bool {
+// Update records a status that arrived at now on a connection. It reports whether the status was
+// accepted: it is ignored if its sender is not a controller of the cluster, or if the controller has
+// already sent a status on a later connection. A controller has one connection to each peer at a
+// time, so such a status is a late copy, perhaps of one of the controller's former processes.
+func (r *Registry) Update(status *Status, connection ConnectionNumber, now time.Time) bool {
 	p := r.peers[status.Node]
-	if p == nil {
+	if p == nil || connection < p.connection {
 		return false
 	}
-	if p.Status != nil && p.Status.ProcessID != status.ProcessID {
-		if p.previousProcessID == status.ProcessID {
-			return false
-		}
-		p.previousProcessID = p.Status.ProcessID
-	}
 	if now.Sub(p.LastStatusAt) > Timeout {
 		p.ReachableSince = now
 	}
-	p.Status, p.LastStatusAt = status, now
+	p.Status, p.LastStatusAt, p.connection = status, now, connection
 	return true
 }
 
