--- a/internal/controller/fault_combinations_test.go
+++ b/internal/controller/fault_combinations_test.go
@@ -21,7 +21,7 @@
 // the code that each one exercises.
 func TestFaultCombinations(t *testing.T) {
 	t.Parallel()
-	for _, x := range slices.Concat(clusterCombinations, gangCombinations) {
+	for _, x := range slices.Concat(clusterCombinations, gangCombinations, repeatCombinations) {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			runFaults(t, cmp.Or(x.seed, defaultSeed), x.initialJobs, x.faults)
--- a/internal/simulation/rules/attempts.go
+++ b/internal/simulation/rules/attempts.go
@@ -17,11 +17,12 @@
 }
 
 // checkForgotten checks that a task is not started under the number of an attempt that a machine was
-// told to forget, since attempts only rise: such a start is the repeat of one that was carried out. A
-// gang's task may be replaced under the number of the attempt that it completes.
+// told to forget, since attempts only rise: such a start is the repeat of one that was carried out.
+// While its job is unfinished, a gang's task may be replaced under the number of the attempt that it
+// completes.
 func (c *checker) checkForgotten(started *task) {
 	forgotten := started.job.forgotten[started.name]
-	isReplacement := started.job.spec != nil && started.job.spec.Gang && started.attempt == forgotten
+	isReplacement := started.job.spec != nil && started.job.spec.Gang && started.attempt == forgotten && started.job.finalState == ""
 	if started.attempt <= forgotten && !isReplacement && forgotten > 0 {
 		c.addViolation(StartedAfterForget, "%s is started as attempt %d on %s, and attempt %d was forgotten", started.name, started.attempt, started.machine.name, forgotten)
 	}
