Ignore the answer to a direct command once its machine has changed partitions

Cause: the answer was applied with the partition that sent the request. The end of a task that the new owner had bound then freed a cell in a partition without cells.

TestAnswerAfterMachineChangedPartitions panics without the condition.

--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -157,7 +157,8 @@
 	if heartbeat.Machine != m.name {
 		return // the address now belongs to another machine
 	}
-	if p.token != 0 && c.coversToken(m, p, heartbeat.FencingToken) {
+	// The machine may have changed partitions since the request was sent.
+	if p.token != 0 && m.partition == p.index && c.coversToken(m, p, heartbeat.FencingToken) {
 		c.applyHeartbeat(m, heartbeat, p, directCommandResponse)
 	}
 	if m.commandState.sendAgain || !executed {
--- a/internal/controller/direct_commands_test.go
+++ b/internal/controller/direct_commands_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/wire"
 	"eiderhitch/internal/workerclient"
 )
@@ -139,3 +140,31 @@
 		}
 	}
 }
+
+// A machine may change partitions while a direct request to it is in flight. The answer was applied
+// with the former partition, whose commands got a token above the one that the machine showed; the
+// proven end of a task that its new owner had bound there then ended the process.
+func TestAnswerAfterMachineChangedPartitions(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		c := newTestControllerInCluster(t, 3)
+		m := c.getOrAddMachine("host-1")
+		p := c.partitions[m.partition]
+		c.takeOverPartition(p, 5)
+		p.takeoverComplete = true
+		request := directRequest{machine: m, partition: p, token: p.token, sentAt: c.now}
+		m.commandState.inFlight = true
+		partition := p.index
+		if moved {
+			c.replica.Put(loanKey(m.name), marshalJSON(t, record.MachineLoan{Job: "wk-1", Acknowledged: true}), 30)
+			partition = c.loanPartition()
+		}
+		putTestJob(t, c, &wire.Job{ID: "wk-1", Team: "blue", TaskCount: 1, CPUs: 1})
+		c.replica.Put(groupKey("wk-1", 0), marshalJSON(t, record.TaskGroup{Partition: partition, Tasks: []record.Binding{{Task: 0, Attempt: 1, Machine: m.name, Incarnation: 1}}}), 40)
+		c.replica.Apply(&wire.WatchResponse{Revision: 50})
+		c.handleDirectAnswer(request, &wire.Heartbeat{Machine: m.name, Incarnation: 1, Sequence: 1, FencingToken: 35,
+			Tasks: []wire.TaskStatus{{Task: "wk-1/0", Attempt: 1, State: wire.StateExited, Reason: wire.ReasonDone}}}, true)
+		if applied := m.sequence == 1; applied == moved {
+			t.Errorf("machine changed partitions: %v; answer applied: %v, want %v", moved, applied, !moved)
+		}
+	}
+}
--- a/internal/controller/job_lifecycle_test.go
+++ b/internal/controller/job_lifecycle_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/wire"
 )
 
@@ -122,3 +123,10 @@
 		}
 	})
 }
+
+// putTestJob puts an unfinished job into a controller's replica and returns it.
+func putTestJob(t *testing.T, c *controller, spec *wire.Job) *job {
+	t.Helper()
+	c.replica.Put(jobKey(spec.ID), marshalJSON(t, record.Job{AcceptedAtMS: 1, Spec: spec}), 5)
+	return c.jobs[spec.ID]
+}
