--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -89,18 +89,19 @@
 	remaining := j.spec.TaskCount - assigned
 	switch {
 	case remaining <= 0:
+	case a.leadership.movedToOtherZone[j]:
+		a.deferTasks(j, remaining)
 	case j.spec.Gang && assigned > 0:
 		a.assignRemainingGangTasks(j, assigned)
 	case !j.spec.IsAllOrNothing() && a.now.Sub(j.assignedAt) < minArrayAssignmentInterval:
-		a.deferArray(j, remaining)
+		a.deferTasks(j, remaining)
 	default:
 		a.assignTasks(j, assigned, remaining)
 	}
 }
 
-// deferArray records the demand of an array that was assigned tasks too recently to be
-// assigned more now.
-func (a *assignmentPass) deferArray(j *job, remaining int) {
+// deferTasks records the demand of a job of which no more tasks are assigned now.
+func (a *assignmentPass) deferTasks(j *job, remaining int) {
 	count := a.teamQuotas[j.team].RemainingTasks(j.taskSize, remaining)
 	if !a.quotaLimitedTeams[j.team] && count < remaining && a.isPlaceable(j) {
 		a.quotaLimitedTeams[j.team] = true
--- a/internal/controller/assignment_writes.go
+++ b/internal/controller/assignment_writes.go
@@ -74,12 +74,28 @@
 	if len(groups) == 0 {
 		return
 	}
-	write := &store.Write{HighPriority: j.spec.Gang, MediumPriority: true, Conditions: []wire.Condition{c.leaderCondition(), {Key: jobKey(j.id), Revision: j.revision}}}
-	reusableGroups := j.emptyGroups()
-	var reusedGroups []*taskGroup
+	write, reusedGroups := c.newAssignmentWrite(j, groups)
+	j.assignedAt = c.now
+	c.submitDecision(write, reusedGroups...)
+	c.metrics.count(countAssignedGroups, len(groups))
+	c.log.Debug("tasks assigned", "job", j.id, "tasks", countTasks(groups), "records", len(groups))
+}
+
+// countTasks returns the number of tasks in groups.
+func countTasks(groups []record.TaskGroup) int {
 	tasks := 0
+	for i := range groups {
+		tasks += len(groups[i].Tasks)
+	}
+	return tasks
+}
+
+// newAssignmentWrite returns the write that stores new groups of a job, and the groups without tasks
+// whose keys it reuses.
+func (c *leader) newAssignmentWrite(j *job, groups []record.TaskGroup) (write *store.Write, reusedGroups []*taskGroup) {
+	write = &store.Write{HighPriority: j.spec.Gang, MediumPriority: true, Conditions: []wire.Condition{c.leaderCondition(), {Key: jobKey(j.id), Revision: j.revision}}}
+	reusableGroups := j.emptyGroups()
 	for _, group := range groups {
-		tasks += len(group.Tasks)
 		var key string
 		var revision uint64
 		if len(reusableGroups) > 0 {
@@ -92,10 +108,7 @@
 		write.Conditions = append(write.Conditions, wire.Condition{Key: key, Revision: revision})
 		write.Changes = append(write.Changes, wire.Change{Put: key, Value: group.Encode(c.writeEncoding()).ValueForKey(key)})
 	}
-	j.assignedAt = c.now
-	c.submitDecision(write, reusedGroups...)
-	c.metrics.count(countAssignedGroups, len(groups))
-	c.log.Debug("tasks assigned", "job", j.id, "tasks", tasks, "records", len(groups))
+	return write, reusedGroups
 }
 
 // emptyGroups returns the groups whose tasks are all done, sorted by number. They are reused,
--- a/internal/controller/gang_moves.go
+++ b/internal/controller/gang_moves.go
@@ -43,6 +43,7 @@
 // reserved once all groups are together. It returns false if the gang can't move now.
 func (c *leader) relocateGang(j *job, partition int, zone string) bool {
 	write := c.newMoveWrite(j)
+	var moving []*taskGroup
 	size := 0
 	for _, group := range j.groupsByNumber() {
 		if group.partition == partition && group.zone == zone {
@@ -59,11 +60,12 @@
 			break
 		}
 		addGroupUpdate(write, group, value)
+		moving = append(moving, group)
 	}
 	if len(write.Changes) == 0 {
 		return false
 	}
-	c.submitDecision(write)
+	c.submitDecision(write, moving...)
 	return true
 }
 
--- a/internal/controller/gang_size_test.go
+++ b/internal/controller/gang_size_test.go
@@ -195,7 +195,7 @@
 	if c.leadership.writesInFlight != 1 {
 		t.Errorf("%d transactions move records to the first record's partition, want 1", c.leadership.writesInFlight)
 	}
-	c.leadership.writesInFlight = 0
+	c.endDecisions()
 	c.replica.Put(groupKey("wk-1", 1), marshalJSON(t, record.TaskGroup{Partition: 1, Zone: "a", Tasks: []record.Binding{{Task: 2}, {Task: 3}}}), 5)
 	c.completeGangMoves()
 	if c.leadership.writesInFlight != 0 {
@@ -218,12 +218,20 @@
 	if !c.moveGang([]*planning.MachineSummary{host(0, 0, 4), host(1, 0, 4), host(2, 1, 0)}, job) || c.leadership.writesInFlight != 1 {
 		t.Error("the gang does not move to the partition with room")
 	}
-	c.leadership.writesInFlight = 0
+	c.endDecisions()
 	if !c.moveGang([]*planning.MachineSummary{host(0, 0, 4), host(1, 1, 4), host(2, 1, 0)}, job) || c.leadership.writesInFlight != 1 {
 		t.Error("no machines of two partitions are loaned for the gang")
 	}
 }
 
+// endDecisions ends the leader's writes in flight as their results would.
+func (c *controller) endDecisions() {
+	c.leadership.writesInFlight = 0
+	for group := range c.allGroups() {
+		group.writeInFlight = false
+	}
+}
+
 // A gang that is partly assigned counts with all its tasks toward its team's quota, and toward
 // its guarantee if it runs within that. The capacity for its remaining tasks is not given to
 // other jobs in between.
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -43,11 +43,23 @@
 
 // newGroupNumber returns a task group number that the job has not used before.
 func (j *job) newGroupNumber() int {
+	number := j.peekGroupNumber()
+	j.nextGroupNumber++
+	return number
+}
+
+// peekGroupNumber returns the number that newGroupNumber returns next.
+func (j *job) peekGroupNumber() int {
 	for _, group := range j.groups {
 		j.nextGroupNumber = max(j.nextGroupNumber, group.number+1)
 	}
-	j.nextGroupNumber++
-	return j.nextGroupNumber - 1
+	return j.nextGroupNumber
+}
+
+// isAssigned reports whether all tasks of the job are or were assigned to partitions.
+func (j *job) isAssigned() bool {
+	assigned, _ := j.countAssignedTasks()
+	return assigned >= j.spec.TaskCount
 }
 
 // countAssignedTasks returns the number of tasks that are or were assigned to partitions, and
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -29,6 +29,9 @@
 	// submitDecision.
 	writesInFlight int
 	usageLoggedAt  time.Time
+	// movedToOtherZone holds the jobs that the current pass moves to another zone. No further tasks
+	// of them are assigned in it, since the replica still shows the former zone.
+	movedToOtherZone map[*job]bool
 	// owners holds the liveness of each partition's owner, by partition index, see
 	// updateOwnerLiveness.
 	owners      []ownerLiveness
@@ -78,6 +81,7 @@
 	if c.leadership.writesInFlight > 0 {
 		return
 	}
+	c.leadership.movedToOtherZone = map[*job]bool{}
 	demands := c.assignWaitingTasks(summaries)
 	c.autoscaler.Scale(c.workload(summaries, demands))
 }
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -1,17 +1,11 @@
 package controller
 
 import (
-	"time"
-
 	"eiderhitch/internal/planning"
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
 
-// zoneMoveDelay is how long a single-zone job with no running task waits for room in its
-// assigned zone before the leader moves it to another zone.
-const zoneMoveDelay = 15 * time.Second
-
 // newMoveWrite returns a write, still without changes, that moves groups of a job.
 func (c *leader) newMoveWrite(j *job) *store.Write {
 	return &store.Write{MediumPriority: true, ConflictProne: true, Conditions: []wire.Condition{c.leaderCondition(), {Key: jobKey(j.id), Revision: j.revision}}}
@@ -23,91 +17,6 @@
 	write.Changes = append(write.Changes, wire.Change{Put: group.key, Value: value})
 }
 
-// moveToOtherZone moves a single-zone job to another zone and reports whether it did. The job
-// must not have any bound task, and its zone must have no room for it, for example because
-// the zone lost its machines. A job that was tied to its first zone waited for as long as
-// that zone had no machines, although other zones had idle ones. All tasks of the job are
-// proven to be gone, so no task ends up in a second zone. If an owner binds one meanwhile,
-// its write fails on the revision of the group.
-func (c *leader) moveToOtherZone(summaries []*planning.MachineSummary, group *taskGroup) bool {
-	job := group.job
-	if !c.canChangeZone(group) {
-		return false
-	}
-	tasks, ok := tasksToMove(group)
-	if !ok {
-		return false
-	}
-	room := c.roomByZone(summaries, job, tasks)
-	zone := zoneWithMostRoom(room, group.zone)
-	if zone == group.zone || room[zone] < tasks || room[group.zone] >= tasks {
-		return false
-	}
-	c.log.Info("job moves to another zone", "job", job.id, "from", group.zone, "to", zone)
-	if job.spec.Gang {
-		return c.relocateGang(job, job.firstGroup().partition, zone)
-	}
-	write := c.newMoveWrite(job)
-	for _, other := range job.groups {
-		moved := *other
-		moved.zone = zone
-		addGroupUpdate(write, other, c.encodeGroup(&moved, other.doneTasks, other.bindings).ValueForKey(other.key))
-	}
-	c.submitDecision(write)
-	return true
-}
-
-// canChangeZone reports whether the job of a group has waited for long enough in its zone and
-// may move to another one. A job with more groups than one transaction can change moves only
-// if it is a gang.
-func (c *leader) canChangeZone(group *taskGroup) bool {
-	job := group.job
-	if !job.spec.SingleZone || group.zone == "" || c.now.Sub(group.partitionAssignedAt) < zoneMoveDelay {
-		return false
-	}
-	return job.spec.Gang || len(job.groups) <= c.cfg.Settings.Store.TxnOps
-}
-
-// tasksToMove returns for how many tasks another zone must have room if the job of a group is
-// to move there. ok is false if the job can't move now: one of its tasks is bound, one of its
-// groups has a write in flight, or its groups are in different zones.
-func tasksToMove(group *taskGroup) (tasks int, ok bool) {
-	tasks = 1
-	for _, other := range group.job.groups {
-		if other.writeInFlight || other.zone != group.zone || other.boundTaskCount() > 0 {
-			return 0, false
-		}
-		if group.job.spec.IsAllOrNothing() {
-			tasks = max(tasks, len(other.bindings))
-		}
-	}
-	return tasks, true
-}
-
-// roomByZone returns for how many tasks of a job there is free room in each zone. No machine
-// counts for more than limit tasks.
-func (c *leader) roomByZone(summaries []*planning.MachineSummary, j *job, limit int) map[string]int {
-	room := map[string]int{}
-	for _, summary := range summaries {
-		if !summary.Booting && c.reserveAllows(j, summary) && allowsMachine(j.spec, "", summary.Type, summary.Zone, summary.Spot) {
-			room[summary.Zone] += summary.FreeResources.CountFitting(j.taskSize, limit)
-		}
-	}
-	return room
-}
-
-// zoneWithMostRoom returns the zone with the most room; among equals, the first by name. If room
-// is empty, it returns current.
-func zoneWithMostRoom(room map[string]int, current string) string {
-	best := current
-	for zone, count := range room {
-		if count > room[best] || count == room[best] && zone < best {
-			best = zone
-		}
-	}
-	return best
-}
-
 // moveUnplacedTasks moves count waiting tasks of a group, whose partition has no room for
 // them, to a partition that has. It reports whether a move or a loan of machines is under
 // way. Writes of the former partition's owner then fail on the revision of the group.
@@ -215,5 +124,5 @@
 	}
 	c.metrics.count(countMovedGroups, 1)
 	c.log.Debug("tasks move to another partition", "job", group.job.id, "tasks", len(moving), "partition", partition)
-	c.submitDecision(write)
+	c.submitDecision(write, group)
 }
