Complete a service that an owner has bound only in part: a replica never started

The owner was killed between the bindings of a service's two task groups.

Cause: the second group counted as a part of a service that has never started and waited for the first, which had nothing left to place.

Fix: a service has started if any of its tasks has been bound.

--- a/internal/controller/job_lifecycle_test.go
+++ b/internal/controller/job_lifecycle_test.go
@@ -130,3 +130,28 @@
 	c.replica.Put(jobKey(spec.ID), marshalJSON(t, record.Job{AcceptedAtMS: 1, Spec: spec}), 5)
 	return c.jobs[spec.ID]
 }
+
+// The owner of a partition may end after it has bound one of a service's task groups and before it
+// binds the next. The next owner must place the rest: it took the rest for a part of a service that has
+// never started, which is placed together with the first group, and the replica never ran (seed 2103
+// of TestGeneratedRepeats).
+func TestPartlyBoundServiceIsCompleted(t *testing.T) {
+	for _, firstBound := range []bool{true, false} {
+		c := newTestController(t)
+		p := c.partitions[0]
+		putTestJob(t, c, &wire.Job{ID: "wk-1", Team: "blue", Service: true, TaskCount: 2, CPUs: 1})
+		first := record.Binding{Task: 0}
+		if firstBound {
+			first = record.Binding{Task: 0, Attempt: 1, Machine: "host-1", Incarnation: 1}
+		}
+		c.replica.Put(groupKey("wk-1", 0), marshalJSON(t, record.TaskGroup{Tasks: []record.Binding{first}}), 10)
+		c.replica.Put(groupKey("wk-1", 1), marshalJSON(t, record.TaskGroup{Tasks: []record.Binding{{Task: 1}}}), 11)
+		c.handleHeartbeat(&wire.Heartbeat{Machine: "host-1", Addr: "host-1:1", Type: "small", Zone: "a", Incarnation: 1, Sequence: 1, FencingToken: p.token,
+			Tasks: []wire.TaskStatus{{Task: "wk-1/0", Attempt: 1, State: wire.StateRunning}}})
+		c.schedulePartition(p)
+		second := c.groupByKey[groupKey("wk-1", 1)]
+		if _, reserved := p.reservations[second.task(1)]; !reserved {
+			t.Errorf("first group bound: %v; the second group has no cell", firstBound)
+		}
+	}
+}
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -176,6 +176,8 @@
 		return
 	}
 	spec := group.job.spec
+	// The owner may have ended after it had bound only some groups of a service.
+	started = started || spec.Service && group.job.hasBeenBound()
 	if spec.Gang || spec.Service && !started {
 		if !p.isFirstOfJob(group) {
 			return
@@ -196,6 +198,16 @@
 	}
 }
 
+// hasBeenBound reports whether any task of the job has been bound to a machine.
+func (j *job) hasBeenBound() bool {
+	for bound := range j.allBindings() {
+		if bound.attempt > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // isFirstOfJob reports whether a group is its job's first one in the partition. The other groups
 // of a gang, or of a service that has never started, are placed together with the first one.
 func (p *partition) isFirstOfJob(group *taskGroup) bool {
