--- a/internal/controller/catalog.go
+++ b/internal/controller/catalog.go
@@ -7,6 +7,7 @@
 	"eiderhitch/internal/record"
 	"eiderhitch/internal/replica"
 	"eiderhitch/internal/scheduling"
+	"eiderhitch/internal/wire"
 )
 
 // catalog indexes jobs and task groups. A job stays in it until it is final and all of its task
@@ -15,6 +16,8 @@
 	// jobs holds the jobs that are not archived, finalStates the final states of archived jobs.
 	jobs        map[string]*job
 	finalStates map[string]record.FinalState
+	// jobsWithListedGroups holds the jobs of which the current full read has listed a task group.
+	jobsWithListedGroups map[string]bool
 	// activeJobs holds the jobs that have no final state yet, and final ones that are not
 	// archived yet.
 	activeJobs  []*job
@@ -25,7 +28,7 @@
 
 func newCatalog() *catalog {
 	return &catalog{
-		jobs: map[string]*job{}, finalStates: map[string]record.FinalState{},
+		jobs: map[string]*job{}, finalStates: map[string]record.FinalState{}, jobsWithListedGroups: map[string]bool{},
 		groupByKey: map[string]*taskGroup{}, teamIndexes: map[string]scheduling.TeamIndex{},
 	}
 }
@@ -81,6 +84,31 @@
 	})
 }
 
+// archiveListedJobs archives the finished jobs of a page of a full read and returns the other items.
+// The pages are passed in the order of their keys, so that the task groups come before the jobs.
+// revision is that of the first page: a job that was final then has no task groups that were not on a
+// page, and neither gets any nor changes. Of a history of many jobs only the final states are held,
+// already while it is read.
+func (c *catalog) archiveListedJobs(items []wire.Item, revision uint64) []wire.Item {
+	return slices.DeleteFunc(items, func(item wire.Item) bool {
+		kind, id := parseKey(item.Key)
+		if kind == groupKind {
+			id, _, _ := parseGroupKey(item.Key)
+			c.jobsWithListedGroups[id] = true
+			return false
+		}
+		if kind != jobKind || item.Revision > revision || c.jobs[id] != nil || c.jobsWithListedGroups[id] {
+			return false
+		}
+		var v record.Job
+		if wire.Decode(item.Value, &v) != nil || v.FinalState == record.StateUnfinished || v.Spec != nil {
+			return false
+		}
+		c.finalStates[id] = v.FinalState
+		return true
+	})
+}
+
 // getOrAddTeam returns the index of a team. A team that is not configured gets the next free
 // index.
 func (c *catalog) getOrAddTeam(name string) scheduling.TeamIndex {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -106,11 +106,18 @@
 		ControllerCount:   s.ControllerCount,
 		RequestsPerSecond: s.Store.RPS,
 		Jitter:            jitter,
-		OnLoaded:          func() { c.archiveFinishedJobs(c.replica) },
+		Archive:           c.archiveListedJobs,
+		OnLoaded:          c.endFullRead,
 		Log:               c.log,
 	}, c.replica, c.storeClient, priorityLoop{c.eventLoop, priorityStore})
 }
 
+// endFullRead archives the finished jobs that a full read has shown beside those of its pages.
+func (c *controller) endFullRead() {
+	clear(c.jobsWithListedGroups)
+	c.archiveFinishedJobs(c.replica)
+}
+
 // newElector returns the elector that acquires and renews the leases of the partitions and of
 // the leadership.
 func (c *controller) newElector(ctx context.Context) *election.Elector {
--- a/internal/controller/job_lifecycle_test.go
+++ b/internal/controller/job_lifecycle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -131,6 +132,40 @@
 	return c.jobs[spec.ID]
 }
 
+// A full read keeps only the final states of finished jobs, from the first page on. A job that may
+// still have task groups or changes is tracked: one that is unfinished, known already, was changed
+// since the first page, or has a task group on a page.
+func TestFinishedJobsAreArchivedByPage(t *testing.T) {
+	c := newTestController(t)
+	known := putTestJob(t, c, &wire.Job{ID: "wk-5", Team: "blue", TaskCount: 1, CPUs: 1})
+	const firstPage = 100
+	item := func(key string, value any, revision uint64) wire.Item {
+		return wire.Item{Key: key, Value: marshalJSON(t, value), Revision: revision}
+	}
+	done := record.Job{FinalState: record.StateDone}
+	kept := c.archiveListedJobs([]wire.Item{item(groupKey("wk-3", 0), record.TaskGroup{DoneTasks: 1}, 20)}, firstPage)
+	kept = append(kept, c.archiveListedJobs([]wire.Item{
+		item(jobKey("wk-1"), done, firstPage),
+		item(jobKey("wk-2"), done, firstPage+1),
+		item(jobKey("wk-3"), done, 30),
+		item(jobKey("wk-4"), record.Job{AcceptedAtMS: 1, Spec: known.spec}, 40),
+		item(jobKey("wk-5"), done, 50),
+		item(jobKey("wk-6"), record.Job{FinalState: record.StateCancelled}, 60),
+		item(jobKey("wk-7"), record.Job{FinalState: record.StateDone, AcceptedAtMS: 1, Spec: known.spec}, 70),
+	}, firstPage)...)
+	var keys []string
+	for i := range kept {
+		keys = append(keys, kept[i].Key)
+	}
+	want := []string{groupKey("wk-3", 0), jobKey("wk-2"), jobKey("wk-3"), jobKey("wk-4"), jobKey("wk-5"), jobKey("wk-7")}
+	if !slices.Equal(keys, want) {
+		t.Errorf("%v are tracked, want %v", keys, want)
+	}
+	if c.finalStates["wk-1"] != record.StateDone || c.finalStates["wk-6"] != record.StateCancelled || len(c.finalStates) != 2 {
+		t.Errorf("final states %v, want those of wk-1 and wk-6", c.finalStates)
+	}
+}
+
 // The owner of a partition may end after it has bound one of a service's task groups and before it
 // binds the next. The next owner must place the rest: it took the rest for a part of a service that has
 // never started, which is placed together with the first group, and the replica never ran (seed 2103
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"eiderhitch/internal/store"
 	"eiderhitch/internal/wire"
 )
@@ -34,8 +36,9 @@
 
 // Store is the part of the key-value store's client that a Reader uses.
 type Store interface {
-	// List returns all keys below prefix and the store's revision at the first page.
-	List(ctx context.Context, prefix string) ([]wire.Item, uint64, error)
+	// ListPage returns the first keys below prefix that follow the key after, in their order. An empty
+	// after stands for the start.
+	ListPage(ctx context.Context, prefix, after string) (*wire.ItemPage, error)
 	// Watch returns the changes below prefix after the revision since. If there are none, it
 	// waits up to wait for one.
 	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (*wire.WatchResponse, error)
@@ -61,6 +64,10 @@
 	RequestsPerSecond float64
 	// Jitter returns a random duration below the given one.
 	Jitter func(time.Duration) time.Duration
+	// Archive is called on the event loop with each page of a full read, in the order of the keys, and
+	// the revision of the first page. It returns the items that the replica has to track. The others
+	// never change again.
+	Archive func(items []wire.Item, revision uint64) []wire.Item
 	// OnLoaded is called on the event loop after a full read has been applied.
 	OnLoaded func()
 	// Log receives the errors of failed reads.
@@ -82,6 +89,10 @@
 	readScheduled       bool          // whether a timer will start the next shared read
 	sharedReadStartedAt time.Time     // time at which the last shared read began
 	waitingCallbacks    []func(error) // callers that wait for the next shared read
+	// fullRead and fullReadLimiter are used only by Follow, on its own goroutine and while that waits
+	// for the event loop.
+	fullRead        fullRead
+	fullReadLimiter *rate.Limiter
 	// sharedReadSucceededAt is the time at which the last shared read succeeded; nil if none
 	// has. Follow reads it on its own goroutine.
 	sharedReadSucceededAt atomic.Pointer[time.Time]
@@ -89,7 +100,7 @@
 
 // NewReader returns a reader that keeps replica up to date. Shared reads end when ctx ends.
 func NewReader(ctx context.Context, config Config, replica *Replica, store Store, loop EventLoop) *Reader {
-	return &Reader{ctx: ctx, config: config, replica: replica, store: store, loop: loop}
+	return &Reader{ctx: ctx, config: config, replica: replica, store: store, loop: loop, fullReadLimiter: newFullReadLimiter(&config)}
 }
 
 // AfterRead calls f on the event loop with the result of a read that begins after this call. If
@@ -185,7 +196,7 @@
 			err = r.watchOnce(ctx, start, &cursor)
 			loaded = !errors.Is(err, store.ErrCompacted)
 		} else {
-			err = r.loadAll(ctx, start, &cursor)
+			err = r.loadAll(ctx, &cursor)
 			loaded = err == nil
 		}
 		wait := interval
@@ -207,25 +218,6 @@
 	return 2*r.sharedReadInterval() - now.Sub(*at)
 }
 
-// loadAll reads all keys, applies them to the replica and sets cursor to the replica's cursor.
-func (r *Reader) loadAll(ctx context.Context, start time.Time, cursor *uint64) error {
-	items, revision, err := r.store.List(ctx, r.config.KeyPrefix)
-	if err != nil {
-		return fmt.Errorf("full read: %w", err)
-	}
-	response, err := r.store.Watch(ctx, r.config.KeyPrefix, revision, 0)
-	if err != nil {
-		return fmt.Errorf("changes since the full read: %w", err)
-	}
-	r.loop.Call(ctx, func() {
-		r.replica.Load(items, revision, response)
-		r.config.OnLoaded()
-		r.replica.AdvanceReadTime(start)
-		*cursor = r.replica.Cursor()
-	})
-	return nil
-}
-
 // watchOnce waits for changes after cursor, applies them and advances cursor.
 func (r *Reader) watchOnce(ctx context.Context, start time.Time, cursor *uint64) error {
 	response, err := r.store.Watch(ctx, r.config.KeyPrefix, *cursor, watchWait)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,6 +36,12 @@
 	err     error // result of all calls
 	// watches is the number of calls of Watch.
 	watches int
+	// pages is the number of calls of ListPage. refusePage reports whether the call with a number is
+	// refused; nil means that none is.
+	pages      int
+	refusePage func(call int) bool
+	// compacted makes watches from before this revision fail.
+	compacted uint64
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{values: map[string]wire.Item{}} }
@@ -63,14 +71,31 @@
 	s.err = err
 }
 
-func (s *fakeStore) List(context.Context, string) ([]wire.Item, uint64, error) {
+// fakePageSize is the number of keys on a page of the fake store.
+const fakePageSize = 3
+
+// ListPage returns the next fakePageSize keys, or refuses the request.
+func (s *fakeStore) ListPage(_ context.Context, _, after string) (*wire.ItemPage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var items []wire.Item
-	for _, item := range s.values {
-		items = append(items, item)
+	s.pages++
+	if s.err != nil {
+		return nil, s.err
 	}
-	return items, s.revision(), s.err
+	if s.refusePage != nil && s.refusePage(s.pages) {
+		return nil, store.ErrThrottled
+	}
+	items := slices.Collect(maps.Values(s.values))
+	slices.SortFunc(items, func(x, y wire.Item) int { return strings.Compare(x.Key, y.Key) })
+	items = slices.DeleteFunc(items, func(item wire.Item) bool { return item.Key <= after })
+	return &wire.ItemPage{Items: items[:min(len(items), fakePageSize)], HasMore: len(items) > fakePageSize, Revision: s.revision()}, nil
+}
+
+// list returns all keys and the revision at which they were read.
+func (s *fakeStore) list() ([]wire.Item, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.values)), s.revision()
 }
 
 func (s *fakeStore) Watch(_ context.Context, _ string, since uint64, _ time.Duration) (*wire.WatchResponse, error) {
@@ -80,6 +105,9 @@
 	if s.err != nil {
 		return nil, s.err
 	}
+	if since < s.compacted {
+		return nil, store.ErrCompacted
+	}
 	return &wire.WatchResponse{Revision: s.revision(), Events: s.history[min(since, s.revision()):]}, nil
 }
 
@@ -118,7 +146,7 @@
 		changes, _ := d.store.Watch(t.Context(), "", d.replica.Cursor(), 0)
 		d.replica.Apply(changes)
 	case "load":
-		items, revision, _ := d.store.List(t.Context(), "")
+		items, revision := d.store.list()
 		d.replica.Load(items, revision, &wire.WatchResponse{Revision: revision})
 	}
 }
@@ -188,8 +216,13 @@
 }
 
 func newReader(t *testing.T, kv *fakeStore) (*replica.Reader, *replica.Replica, eventLoop) {
-	loop, r := newEventLoop(), replica.New(valueMap{})
-	config := replica.Config{ControllerCount: 1, RequestsPerSecond: 100, OnLoaded: func() {},
+	return newReaderInto(t, kv, valueMap{})
+}
+
+// newReaderInto returns a reader whose replica passes the changes to values.
+func newReaderInto(t *testing.T, kv *fakeStore, values valueMap) (*replica.Reader, *replica.Replica, eventLoop) {
+	loop, r := newEventLoop(), replica.New(values)
+	config := replica.Config{ControllerCount: 1, RequestsPerSecond: 100, OnLoaded: func() {}, Archive: func(items []wire.Item, _ uint64) []wire.Item { return items },
 		Jitter: func(time.Duration) time.Duration { return 0 }, Log: slog.New(slog.DiscardHandler)}
 	return replica.NewReader(t.Context(), config, r, kv, loop), r, loop
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -20,8 +20,9 @@
 	callTimeout = 1500 * time.Millisecond
 	// listTimeout is the timeout for reading one page of keys.
 	listTimeout = 2 * callTimeout
-	// listPageSize is the number of keys on a page, as a query parameter.
-	listPageSize = "400"
+	// listPageSize is the number of keys on a page, as a query parameter: the largest that the store
+	// allows. Fewer keys are on a page if they exceed its limit of bytes.
+	listPageSize = "1000"
 )
 
 // noSuchLeaseMessage is the error text in the store's response to a put under an expired lease.
@@ -160,7 +161,7 @@
 	var revision uint64
 	after := ""
 	for {
-		page, err := c.listPage(ctx, prefix, after)
+		page, err := c.ListPage(ctx, prefix, after)
 		if err != nil {
 			return nil, 0, fmt.Errorf("list keys below %q: %w", prefix, err)
 		}
@@ -175,9 +176,9 @@
 	}
 }
 
-// listPage reads one page of the keys below a prefix that follow the key after. If after is "", the
+// ListPage reads one page of the keys below a prefix that follow the key after. If after is "", the
 // page starts at the first key.
-func (c *Client) listPage(ctx context.Context, prefix, after string) (*wire.ItemPage, error) {
+func (c *Client) ListPage(ctx context.Context, prefix, after string) (*wire.ItemPage, error) {
 	query := url.Values{"starts": {prefix}, "most": {listPageSize}}
 	if after != "" {
 		query.Set("since", after)
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -45,7 +45,7 @@
 		_, err := c.Txn(ctx, &wire.Txn{Changes: []wire.Change{{Put: "a/b", Value: json.RawMessage("1"), Lease: 7}}})
 		return err
 	}},
-	{"list", `GET http://kv:1/kv?most=400&starts=c%2F`, func(ctx context.Context, c *store.Client) error {
+	{"list", `GET http://kv:1/kv?most=1000&starts=c%2F`, func(ctx context.Context, c *store.Client) error {
 		_, _, err := c.List(ctx, "c/")
 		return err
 	}},
