--- /dev/null
+++ b/review/_standin2/cases.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"fmt"
+	"hash/fnv"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// This file has the cases. Each returns whether the rule held.
+
+var scenarios = map[string]scenario{
+	"spread": {trinacria, spread},
+	"faulty": {trinacria, faulty},
+	"late":   {trinacria, late},
+	"mesh":   {sengupta, mesh},
+	"halves": {trinacria, halves},
+}
+
+// watchFor returns how long a case waits for what must happen. WATCH_S replaces it, to see whether it
+// happens later.
+func watchFor(d time.Duration) time.Duration {
+	if s, err := strconv.ParseFloat(os.Getenv("WATCH_S"), 64); err == nil {
+		return seconds(s)
+	}
+	return d
+}
+
+// partition returns the partition that a machine's name belongs to. Names are the cloud's choice; the
+// cases choose them so that the machines are spread over the partitions in the way they describe.
+func partition(name string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	x := h.Sum32()
+	x ^= x >> 15
+	x *= 0x2c1b3c6d
+	x ^= x >> 12
+	return int(x % 3)
+}
+
+// addIn adds a machine that is up, in a partition, and waits until the controllers know it.
+func (c *Cluster) addIn(hull, shore string, wanted int) *Worker {
+	for partition(c.cloud.nextName()) != wanted {
+		c.cloud.skipName()
+	}
+	w := c.cloud.addMachine(hull, shore)
+	time.Sleep(3 * time.Second)
+	return w
+}
+
+// giveCapacity lets the cloud of the archive rent machines, as many as the site file has.
+func (c *Cluster) giveCapacity() {
+	c.cloud.mu.Lock()
+	defer c.cloud.mu.Unlock()
+	c.cloud.capacity = map[string]int{"carretto/palermo": 16, "ciurma/palermo": 5, "ciurma/catania": 7}
+}
+
+// ready starts the controllers and waits until users can reach one and each partition has an owner.
+func (c *Cluster) ready() {
+	c.startAll()
+	c.need("a controller is ready", 20*time.Second, func() bool { return c.users.pick() >= 0 })
+	c.need("there is a leader, and each partition has an owner", 20*time.Second, func() bool {
+		return c.state.holder("e/leader") != "" && c.state.holder("e/part/0") != "" && c.state.holder("e/part/1") != "" && c.state.holder("e/part/2") != ""
+	})
+}
+
+// accept submits a job, which must be accepted.
+func (c *Cluster) accept(j *Job) {
+	if status := c.users.submit(j); status != 201 && status != 200 {
+		c.stop()
+		fail(fmt.Errorf("%s: submission answered with %d", j.NameID, status))
+	}
+}
+
+// runs submits a job and waits until all of its tasks run.
+func (c *Cluster) runs(j *Job) {
+	c.accept(j)
+	c.need(j.NameID+" runs", 30*time.Second, func() bool { return c.fleet.running(j.NameID) == j.Eggs })
+}
+
+// service returns a listening service of the archive.
+func service(id string) *Job {
+	return &Job{NameID: id, Flock: "ascolto", Crew: "archivio", Shape: "daemon", Rank: "production", Eggs: 1, CPUs: 4, RAMGb: 6.7,
+		Plumage: "img-01", ImageGb: 0.5}
+}
+
+// serviceOf returns a service of the archive of another size. shore is the zone it must run in, or "".
+func serviceOf(id string, cpus float64, shore string) *Job {
+	j := service(id)
+	j.CPUs = cpus
+	if shore != "" {
+		j.Shore = &shore
+	}
+	return j
+}
+
+// spread: a machine stops with all that is on it. Later a service of two replicas is submitted that
+// spreads over zones. A machine in each zone has room for it.
+func spread(c *Cluster, trouble bool) bool {
+	c.ready()
+	first := c.addIn("carretto", "palermo", 1)
+	c.runs(serviceOf("wk-000001", 10, "palermo"))
+	c.addIn("carretto", "palermo", 0)
+	c.runs(serviceOf("wk-000002", 8, "palermo"))
+	c.addIn("ciurma", "catania", 0)
+	c.runs(serviceOf("wk-000003", 4, "catania"))
+	if trouble {
+		c.log.printf("TROUBLE %s stops with all that is on it", first.name)
+		c.cloud.stopMachine(first.name)
+	}
+	time.Sleep(20 * time.Second)
+	j := service("wk-000004")
+	j.Eggs, j.Spread = 2, true
+	c.fleet.checkStart = func(w *Worker, e *egg) {
+		if e.job != j {
+			return
+		}
+		zones := c.fleet.zonesOf(j.NameID)
+		if most := (j.Eggs + 1) / 2; zones[w.shore] > most {
+			c.fleet.breaks("wrong_place", "%s starts on %s in %s: its job's tasks by zone are now %v, and at most %d of %d may be in one", e.Name, w.name, w.shore, zones, most, j.Eggs)
+		}
+	}
+	c.accept(j)
+	c.await("both replicas run", watchFor(30*time.Second), func() bool { return c.fleet.running(j.NameID) == 2 })
+	c.users.poll(j.NameID)
+	return len(c.fleet.violations()) == 0
+}
+
+// zonesOf counts the tasks of a job on machines, by zone. The caller holds f.mu.
+func (f *Fleet) zonesOf(job string) map[string]int {
+	zones := map[string]int{}
+	for task, at := range f.where {
+		if strings.HasPrefix(task, job+"/") {
+			for _, w := range at {
+				zones[w.shore]++
+			}
+		}
+	}
+	return zones
+}
+
+// faulty: one of two machines, each of which runs a service, begins to fail every task that it starts.
+// Another service is submitted. The other machine has room for it; the cloud has no more machines.
+func faulty(c *Cluster, trouble bool) bool {
+	c.ready()
+	first := c.addIn("carretto", "palermo", 0)
+	c.runs(serviceOf("wk-000001", 10, ""))
+	c.addIn("carretto", "palermo", 1)
+	c.runs(serviceOf("wk-000002", 8, ""))
+	if trouble {
+		first.setFaulty()
+	}
+	time.Sleep(3 * time.Second)
+	j := service("wk-000003")
+	c.accept(j)
+	held := c.await("the third service has run for 5 s", watchFor(95*time.Second), func() bool { return c.fleet.runsFor(j.NameID+"/0", 5*time.Second) })
+	c.users.poll(j.NameID)
+	return held
+}
+
+// late: the cloud's interface is down for 15 s. Meanwhile an array is submitted whose tasks fit on a
+// machine of either type, but not beside what runs on the only machine that is up.
+func late(c *Cluster, trouble bool) bool {
+	c.giveCapacity()
+	c.ready()
+	c.runs(service("wk-000001"))
+	if trouble {
+		c.log.printf("TROUBLE the cloud's interface is down")
+		c.cloud.setOutage(true)
+	}
+	due := 60.0 // 2.5 times the estimate, plus 10 s, as in the site file
+	j := &Job{NameID: "wk-000002", Flock: "trascrizione", Crew: "archivio", Shape: "batch", Rank: "normal", Eggs: 2, CPUs: 14, RAMGb: 20,
+		Plumage: "img-02", ImageGb: 0.5, ReckonS: 20, DueS: &due, RunS: 15}
+	c.accept(j)
+	if trouble {
+		time.Sleep(15 * time.Second)
+		c.log.printf("TROUBLE the cloud's interface is up again")
+		c.cloud.setOutage(false)
+	}
+	held := c.await("the array is done", watchFor(80*time.Second), func() bool { return c.fleet.completed(j.NameID) == j.Eggs })
+	c.users.poll(j.NameID)
+	return held
+}
+
+// mesh: a packet filter refuses all connections between the controllers. The machines of the site file
+// are up and have room for the 19 services that it has at the start; the cloud has no more machines.
+func mesh(c *Cluster, trouble bool) bool {
+	if trouble {
+		c.log.printf("TROUBLE a packet filter refuses every connection between the controllers")
+		for _, f := range c.filters {
+			f.shut()
+		}
+	}
+	c.ready()
+	for range 5 {
+		c.cloud.addMachine("dinghy", "sundarban")
+	}
+	for range 2 {
+		c.cloud.addMachine("trawler", "sundarban")
+	}
+	time.Sleep(5 * time.Second)
+	const services = 19
+	id := func(i int) string { return fmt.Sprintf("wk-%06d", i+1) }
+	for i := range services {
+		c.accept(&Job{NameID: id(i), Flock: "tidewatch", Crew: []string{"mooring", "portdesk"}[i%2], Shape: "daemon", Rank: "urgent", Eggs: 1, CPUs: 2, RAMGb: 2.5,
+			Plumage: "img-01", ImageGb: 0.5})
+	}
+	waiting := func() (ids []string) {
+		for i := range services {
+			if c.fleet.running(id(i)) != 1 {
+				ids = append(ids, id(i))
+			}
+		}
+		return ids
+	}
+	held := c.await("all 19 services run", watchFor(90*time.Second), func() bool { return len(waiting()) == 0 })
+	for _, id := range waiting() {
+		c.users.poll(id)
+	}
+	return held
+}
+
+// halves: the only machine of a zone stops with all that is on it. Later a service of two replicas is
+// submitted that spreads over zones. The cloud has machines in both zones.
+func halves(c *Cluster, trouble bool) bool {
+	c.giveCapacity()
+	c.ready()
+	first := c.addIn("carretto", "palermo", 1)
+	c.runs(serviceOf("wk-000001", 4, ""))
+	c.addIn("ciurma", "catania", 0)
+	c.runs(serviceOf("wk-000002", 4, "catania"))
+	if trouble {
+		c.log.printf("TROUBLE %s stops with all that is on it", first.name)
+		c.cloud.stopMachine(first.name)
+	}
+	time.Sleep(20 * time.Second)
+	j := service("wk-000003")
+	j.Eggs, j.Spread = 2, true
+	c.accept(j)
+	held := c.await("both replicas run", watchFor(75*time.Second), func() bool { return c.fleet.running(j.NameID) == 2 })
+	c.users.poll(j.NameID)
+	return held
+}
