--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -12,11 +12,12 @@
 // This file has the cases. Each returns whether the rule held.
 
 var scenarios = map[string]scenario{
-	"spread": {trinacria, spread},
-	"faulty": {trinacria, faulty},
-	"late":   {trinacria, late},
-	"mesh":   {sengupta, mesh},
-	"halves": {trinacria, halves},
+	"spread":  {trinacria, spread},
+	"amounts": {sengupta, amounts},
+	"faulty":  {trinacria, faulty},
+	"late":    {trinacria, late},
+	"mesh":    {sengupta, mesh},
+	"halves":  {trinacria, halves},
 }
 
 // watchFor returns how long a case waits for what must happen. WATCH_S replaces it, to see whether it
@@ -50,11 +51,11 @@
 	return w
 }
 
-// giveCapacity lets the cloud of the archive rent machines, as many as the site file has.
+// giveCapacity lets the cloud rent machines, as many ordinary ones as the site files have.
 func (c *Cluster) giveCapacity() {
 	c.cloud.mu.Lock()
 	defer c.cloud.mu.Unlock()
-	c.cloud.capacity = map[string]int{"carretto/palermo": 16, "ciurma/palermo": 5, "ciurma/catania": 7}
+	c.cloud.capacity = map[string]int{"carretto/palermo": 16, "ciurma/palermo": 5, "ciurma/catania": 7, "dinghy/sundarban": 24, "trawler/sundarban": 8}
 }
 
 // ready starts the controllers and waits until users can reach one and each partition has an owner.
@@ -141,6 +142,52 @@
 	return zones
 }
 
+// amounts: jobs of a class come 2.5 times as often. All are of a team whose limit they then reach.
+func amounts(c *Cluster, trouble bool) bool {
+	c.giveCapacity()
+	c.ready()
+	for range 5 {
+		c.cloud.addMachine("dinghy", "sundarban")
+	}
+	for range 2 {
+		c.cloud.addMachine("trawler", "sundarban")
+	}
+	time.Sleep(5 * time.Second)
+	const team, limit = "archive", 40.0
+	most := 0.0
+	c.fleet.checkStart = func(w *Worker, e *egg) {
+		use, tasks := c.fleet.useOf(team)
+		if most = max(most, use); use > limit+1e-6 {
+			c.fleet.breaks("quota", "%s starts on %s: the %d tasks of team %s on machines now use %.4f CPUs, its limit is %.4f", e.Name, w.name, tasks, team, use, limit)
+		}
+	}
+	every := 10 * time.Second
+	if trouble {
+		c.log.printf("TROUBLE the jobs of the class come 2.5 times as often")
+		every = every * 2 / 5
+	}
+	n := 0
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(every) {
+		n++
+		c.accept(&Job{NameID: fmt.Sprintf("wk-%06d", n), Flock: "swellsweep", Crew: team, Shape: "batch", Rank: "normal", Eggs: 12, CPUs: 1.2504, RAMGb: 2,
+			Plumage: "img-01", ImageGb: 0.2, Driftwood: true, ReckonS: 40, RunS: 40})
+	}
+	c.await("a rule is broken", watchFor(25*time.Second), func() bool { return len(c.fleet.violations()) > 0 })
+	c.log.printf("%d jobs, the team's tasks used at most %.4f CPUs", n, most)
+	return len(c.fleet.violations()) == 0
+}
+
+// useOf returns the CPUs that the tasks of a team on machines use, and how many there are. The caller
+// holds f.mu.
+func (f *Fleet) useOf(team string) (cpus float64, tasks int) {
+	for task, at := range f.where {
+		if j := f.jobs[strings.Split(task, "/")[0]]; j.Crew == team {
+			cpus, tasks = cpus+float64(len(at))*j.CPUs, tasks+len(at)
+		}
+	}
+	return cpus, tasks
+}
+
 // faulty: one of two machines, each of which runs a service, begins to fail every task that it starts.
 // Another service is submitted. The other machine has room for it; the cloud has no more machines.
 func faulty(c *Cluster, trouble bool) bool {
