--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -251,6 +251,9 @@
 	backoffUntil  map[planning.Offer]time.Time
 	backoffDelays map[planning.Offer]time.Duration
 
+	// waits counts the tasks without capacity by the reason for which they wait.
+	waits planning.WaitCounts
+
 	// hasInstanceList is true once the cloud's instance list has been read in this term.
 	hasInstanceList           bool
 	listInFlight              bool
--- a/internal/autoscaler/scale.go
+++ b/internal/autoscaler/scale.go
@@ -85,6 +85,7 @@
 		Launches:            map[planning.Offer]int{},
 	}
 	placeAll(plan, workload.UnplacedDemands)
+	a.term.waits = plan.Waits
 	placeAll(plan, workload.GangReserveShortfall)
 	shortage = plan.Shortage
 	planning.TreatLowerPriorityAsFree(plan.Machines, headroom.minPriority)
@@ -140,6 +141,9 @@
 	return len(a.bootingMachines()), len(a.term.drainingMachines)
 }
 
+// WaitCounts returns why the tasks of the demands that Scale was last called with wait.
+func (a *Autoscaler) WaitCounts() planning.WaitCounts { return a.term.waits }
+
 // bootingMachines returns summaries of the machines that have been launched or requested and
 // have not come up yet. It leaves out machines that are late or are being terminated.
 func (a *Autoscaler) bootingMachines() []*planning.MachineSummary {
--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -35,6 +35,7 @@
 		quotaLimitedTeams:    map[scheduling.TeamIndex]bool{},
 		placeableClasses:     map[string]bool{},
 	}
+	c.leadership.tasksOverLimit = 0
 	for _, job := range waitingJobs {
 		pass.assignJob(job)
 	}
@@ -87,6 +88,7 @@
 	}
 	assigned, _ := j.countAssignedTasks()
 	remaining := j.spec.TaskCount - assigned
+	a.leadership.tasksOverLimit += max(0, remaining-a.tasksWithinQuota(j, max(0, remaining)))
 	switch {
 	case remaining <= 0:
 	case a.leadership.movedToOtherZone[j]:
--- a/internal/controller/fleet_usage.go
+++ b/internal/controller/fleet_usage.go
@@ -28,6 +28,17 @@
 		"cpus", size.CPU/milliCPUsPerCPU, "free_cpus", free.CPU/milliCPUsPerCPU,
 		"spot_cpus", spot.CPU/milliCPUsPerCPU, "spot_free_cpus", spotFree.CPU/milliCPUsPerCPU,
 		"draining", draining, "tasks_waiting", waiting, "tasks_unplaced", unplaced)
+	c.logWaits()
+}
+
+// logWaits logs why tasks wait, as of the last pass, if any do.
+func (c *leader) logWaits() {
+	waits := c.autoscaler.WaitCounts()
+	waits[planning.WaitsForLimit] += c.leadership.tasksOverLimit
+	if waits.Total() > 0 {
+		c.log.Info("tasks wait", "limit", waits[planning.WaitsForLimit], "room", waits[planning.WaitsForRoom],
+			"launch", waits[planning.WaitsForLaunch], "completion", waits[planning.WaitsForCompletion], "offer", waits[planning.WaitsForOffer])
+	}
 }
 
 // countWaitingTasks counts the tasks that are not assigned to a partition (waiting), and
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -29,6 +29,8 @@
 	// submitDecision.
 	writesInFlight int
 	usageLoggedAt  time.Time
+	// tasksOverLimit is the number of tasks that waited for their team's limit in the last pass.
+	tasksOverLimit int
 	// movedToOtherZone holds the jobs that the current pass moves to another zone. No further tasks
 	// of them are assigned in it, since the replica still shows the former zone.
 	movedToOtherZone map[*job]bool
--- a/internal/planning/scaling.go
+++ b/internal/planning/scaling.go
@@ -34,10 +34,13 @@
 // short its run time.
 const minTaskTimeS = 5
 
+// totalTasks returns the number of tasks of all groups.
+func (d *Demand) totalTasks() int { return d.Count * max(d.GroupCount, 1) }
+
 // concurrentTasks returns how many of the tasks must run at the same time so that all are done
 // within the completion window.
 func (d *Demand) concurrentTasks() int {
-	tasks := d.Count * max(d.GroupCount, 1)
+	tasks := d.totalTasks()
 	if d.AllOrNothing || d.CompletionWindowS <= 0 {
 		return tasks
 	}
@@ -55,6 +58,8 @@
 	Launches map[Offer]int
 	// Shortage is set by Place if the machines lack capacity for a demand.
 	Shortage bool
+	// Waits counts the tasks of the placed demands by the reason for which they wait.
+	Waits WaitCounts
 }
 
 const (
@@ -73,24 +78,29 @@
 // Place places the tasks of a demand in the free resources of the machines, and plans launches for
 // the tasks that don't fit.
 func (p *ScalingPlan) Place(demand Demand) {
+	p.Waits[p.place(&demand)] += demand.totalTasks()
+}
+
+// place does what Place does and returns the reason for which the tasks wait.
+func (p *ScalingPlan) place(demand *Demand) WaitReason {
 	tasks := demand.concurrentTasks()
 	for _, placed := range PlaceWithoutPreemption(p.Machines, demand.allowsMachine, demand.TaskSize, tasks) {
 		tasks -= placed
 	}
 	if tasks <= 0 {
-		return
+		return WaitsForRoom
 	}
 	p.Shortage = true
-	timelyOffers, lateOffers := p.splitAllowedOffers(&demand)
+	timelyOffers, lateOffers := p.splitAllowedOffers(demand)
 	if len(timelyOffers) > 0 {
-		p.planLaunches(&demand, timelyOffers, tasks)
-		return
+		return p.planLaunches(demand, timelyOffers, tasks)
 	}
 	// The tasks must run eventually, but they aren't urgent: if there are machines for them, they
 	// wait until these have capacity.
-	if !slices.ContainsFunc(p.Machines, demand.allowsMachine) {
-		p.planLaunches(&demand, lateOffers, divideRoundingUp(tasks, lateTasksDivisor))
+	if slices.ContainsFunc(p.Machines, demand.allowsMachine) {
+		return WaitsForCompletion
 	}
+	return p.planLaunches(demand, lateOffers, divideRoundingUp(tasks, lateTasksDivisor))
 }
 
 // splitAllowedOffers returns the offers that a demand allows. lateOffers holds on-demand offers
@@ -113,8 +123,9 @@
 
 // planLaunches plans machines for a number of tasks. For groups that arrive one by one, such as
 // services, it chooses an offer for one group at a time: the cheapest offer for all groups would
-// be the one with the largest machines, which take longest to boot.
-func (p *ScalingPlan) planLaunches(demand *Demand, offers []PricedOffer, tasks int) {
+// be the one with the largest machines, which take longest to boot. It returns the reason for which
+// the tasks wait.
+func (p *ScalingPlan) planLaunches(demand *Demand, offers []PricedOffer, tasks int) WaitReason {
 	batchSize := tasks
 	if demand.GroupCount > 1 {
 		batchSize = demand.Count
@@ -123,7 +134,7 @@
 	for tasks > 0 {
 		offer, count := CheapestOffer(offers, demand.TaskSize, batchSize, expectedTasks, bootAmortizationS)
 		if count == 0 {
-			return
+			return WaitsForOffer
 		}
 		planned := plannedMachines(&offer, count)
 		p.Machines = append(p.Machines, planned...)
@@ -132,6 +143,7 @@
 			tasks -= placed
 		}
 	}
+	return WaitsForLaunch
 }
 
 // plannedMachines returns empty machines of an offer that are not launched yet.
