--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -26,13 +26,15 @@
 func (c *clusterState) demand(j *job, zone string, count int) planning.Demand {
 	spec, timing := j.spec, c.jobTiming(j)
 	return planning.Demand{
-		Class:             spec.Class,
-		TaskSize:          j.taskSize,
-		Count:             count,
-		AllOrNothing:      spec.IsAllOrNothing(),
-		EstimateS:         spec.EstimateS,
-		CompletionWindowS: timing.CompletionWindowS(),
-		SlackS:            c.slackS(j),
+		Class:              spec.Class,
+		TaskSize:           j.taskSize,
+		Count:              count,
+		AllOrNothing:       spec.IsAllOrNothing(),
+		Overdue:            timing.IsOverdue(),
+		RunsUntilCancelled: spec.Service,
+		EstimateS:          spec.EstimateS,
+		CompletionWindowS:  timing.CompletionWindowS(),
+		SlackS:             c.slackS(j),
 		AllowsOffer: func(offer planning.Offer) bool {
 			return allowsMachine(spec, zone, offer.Type, offer.Zone, offer.Spot)
 		},
--- a/internal/controller/machine_summaries.go
+++ b/internal/controller/machine_summaries.go
@@ -87,7 +87,7 @@
 	}
 	addUsages(summary, m)
 	if c.autoscaler.IsDrainingAsLeader(m.name) {
-		summary.FreeResources, summary.Usages = scheduling.Resources{}, nil // a draining machine has no room for new tasks
+		summary.FreeResources, summary.CompletingUsage, summary.Usages = scheduling.Resources{}, scheduling.Resources{}, nil // a draining machine has no room for new tasks
 	}
 	return append(summaries, summary)
 }
@@ -103,6 +103,9 @@
 		}
 		summary.FreeResources = summary.FreeResources.Minus(job.taskSize)
 		summary.Usages = append(summary.Usages, planning.TaskUsage{Claim: x.group.claim(), Size: job.taskSize})
+		if !job.spec.Service {
+			summary.CompletingUsage = summary.CompletingUsage.Plus(job.taskSize)
+		}
 		summary.RunsServiceOrGang = summary.RunsServiceOrGang || job.spec.IsAllOrNothing()
 	}
 }
--- a/internal/planning/job_order.go
+++ b/internal/planning/job_order.go
@@ -116,11 +116,15 @@
 
 func (j *JobTiming) isOrderedByAge() bool { return j.AllOrNothing || j.NoDeadline }
 
+// IsOverdue reports whether the job is older than overdueFactor times its deadline, and than
+// startWithinS.
+func (j *JobTiming) IsOverdue() bool {
+	return !j.isOrderedByAge() && j.AgeS > max(startWithinS, overdueFactor*j.DeadlineS)
+}
+
 // HasOverduePriority reports whether the job is overdue, during a time slice in which overdue
 // jobs go first.
-func (j *JobTiming) HasOverduePriority() bool {
-	return !j.isOrderedByAge() && j.OverdueTimeSlice && j.AgeS > max(startWithinS, overdueFactor*j.DeadlineS)
-}
+func (j *JobTiming) HasOverduePriority() bool { return j.OverdueTimeSlice && j.IsOverdue() }
 
 // MustStart reports whether the first tasks of the job must start now: none has ever been
 // placed, and the job is older than forceStartAfterS.
--- a/internal/planning/machine_summary.go
+++ b/internal/planning/machine_summary.go
@@ -18,6 +18,9 @@
 	Size, FreeResources scheduling.Resources
 	// Usages holds an entry for each task on the machine.
 	Usages []TaskUsage
+	// CompletingUsage is what the tasks of arrays and gangs use. It becomes free when they
+	// complete, unlike what the replicas of services use.
+	CompletingUsage scheduling.Resources
 	// usagesSorted is set if sortUsagesForPreemption has sorted the usages.
 	usagesSorted bool
 	// Booting is set if the machine is not up yet: it is booting, or its launch is requested or
--- a/internal/planning/scaling.go
+++ b/internal/planning/scaling.go
@@ -24,6 +24,10 @@
 	CompletionWindowS float64
 	// SlackS is the time in seconds until the deadline.
 	SlackS float64
+	// Overdue is set if the tasks must not be left to the completion of other tasks any more.
+	Overdue bool
+	// RunsUntilCancelled is set for the replicas of services, which don't complete.
+	RunsUntilCancelled bool
 	// AllowsOffer reports whether the tasks may run on machines of an offer.
 	AllowsOffer OfferFilter
 }
@@ -69,9 +73,8 @@
 	// expectedTasksDivisor determines the share of a class's running tasks, a quarter, that is
 	// expected to arrive soon and to share the machines that are launched for the class.
 	expectedTasksDivisor = 4
-	// lateTasksDivisor determines the share of the tasks, an eighth, for which machines are
-	// launched if none can be up before the deadline. The tasks are late anyway, so they are no
-	// longer urgent.
+	// lateTasksDivisor determines the share of late tasks, an eighth, that run at the same time on
+	// machines that are launched for them. They are no longer urgent.
 	lateTasksDivisor = 8
 )
 
@@ -84,25 +87,61 @@
 // place does what Place does and returns the reason for which the tasks wait.
 func (p *ScalingPlan) place(demand *Demand) WaitReason {
 	tasks := demand.concurrentTasks()
-	for _, placed := range PlaceWithoutPreemption(p.Machines, demand.allowsMachine, demand.TaskSize, tasks) {
-		tasks -= placed
+	timelyOffers, lateOffers := p.splitAllowedOffers(demand)
+	if demand.Overdue && len(timelyOffers) == 0 {
+		return p.placeOverdue(demand, lateOffers, tasks)
 	}
+	tasks -= placeDemand(p.Machines, demand, tasks)
 	if tasks <= 0 {
 		return WaitsForRoom
 	}
 	p.Shortage = true
-	timelyOffers, lateOffers := p.splitAllowedOffers(demand)
 	if len(timelyOffers) > 0 {
 		return p.planLaunches(demand, timelyOffers, tasks)
 	}
-	// The tasks must run eventually, but they aren't urgent: if there are machines for them, they
-	// wait until these have capacity.
-	if slices.ContainsFunc(p.Machines, demand.allowsMachine) {
+	if p.getsRoomByCompletions(demand) {
 		return WaitsForCompletion
 	}
 	return p.planLaunches(demand, lateOffers, divideRoundingUp(tasks, lateTasksDivisor))
 }
 
+// placeOverdue makes sure that there are machines for a share of the tasks, which then run one after
+// the other. Only this share takes free resources: if all tasks of each overdue job did, those
+// behind it would need further machines, until there are machines for all tasks at the same time.
+func (p *ScalingPlan) placeOverdue(demand *Demand, offers []PricedOffer, tasks int) WaitReason {
+	if CountFittingTasks(p.Machines, demand.allowsMachine, demand.TaskSize, tasks) < tasks {
+		p.Shortage = true
+	}
+	share := divideRoundingUp(tasks, lateTasksDivisor)
+	share -= placeDemand(p.Machines, demand, share)
+	if share <= 0 {
+		return WaitsForRoom
+	}
+	return p.planLaunches(demand, offers, share)
+}
+
+// placeDemand places up to count tasks in the free resources of the machines, and returns how
+// many it has placed.
+func placeDemand(machines []*MachineSummary, demand *Demand, count int) int {
+	total := 0
+	for machine, placed := range PlaceWithoutPreemption(machines, demand.allowsMachine, demand.TaskSize, count) {
+		total += placed
+		if !demand.RunsUntilCancelled {
+			machine.CompletingUsage = machine.CompletingUsage.Plus(demand.TaskSize.Times(placed))
+		}
+	}
+	return total
+}
+
+// getsRoomByCompletions reports whether a machine has room for a task once the tasks of arrays and
+// gangs on it have completed. A machine that is full of services has not, however long the task
+// waits, and neither has one that is too small.
+func (p *ScalingPlan) getsRoomByCompletions(demand *Demand) bool {
+	return slices.ContainsFunc(p.Machines, func(machine *MachineSummary) bool {
+		return demand.allowsMachine(machine) && machine.FreeResources.Plus(machine.CompletingUsage).Contains(demand.TaskSize)
+	})
+}
+
 // splitAllowedOffers returns the offers that a demand allows. lateOffers holds on-demand offers
 // whose machines would be up too late for an array to meet its deadline, so that they aren't worth
 // their price. timelyOffers holds the others, including all spot offers, which are cheap enough to be
@@ -139,9 +178,7 @@
 		planned := plannedMachines(&offer, count)
 		p.Machines = append(p.Machines, planned...)
 		p.Launches[offer.Offer] += count
-		for _, placed := range PlaceWithoutPreemption(planned, demand.allowsMachine, demand.TaskSize, tasks) {
-			tasks -= placed
-		}
+		tasks -= placeDemand(planned, demand, tasks)
 	}
 	return WaitsForLaunch
 }
--- a/internal/planning/scaling_test.go
+++ b/internal/planning/scaling_test.go
@@ -105,41 +105,94 @@
 }
 
 // Machines that would be up too late for the deadline of an array are launched for a part of its
-// tasks only, and only if there are no machines that the array may use. Spot instances are
-// launched for all tasks.
+// tasks only. They are not launched while a machine that the array may use gets room when other tasks
+// complete, unless the array is overdue; review/7 had a machine that was full of services for good.
+// Spot instances are launched for all tasks.
 func TestPlaceLateArray(t *testing.T) {
 	const tasks = 16
 	size := scheduling.NewResources(1, 0, 1)
 	onDemand, spot := Offer{Type: "on demand"}, Offer{Type: "spot", Spot: true}
+	// The machines are full: of services, of a task that completes, or of both.
+	services := MachineSummary{Type: onDemand.Type, Size: size}
+	array := MachineSummary{Type: onDemand.Type, Size: size, CompletingUsage: size}
+	tooSmall := MachineSummary{Type: onDemand.Type, CompletingUsage: scheduling.NewResources(0.5, 0, 1)}
+	spotArray := MachineSummary{Type: spot.Type, Spot: true, Size: size, CompletingUsage: size}
+	empty := MachineSummary{Type: onDemand.Type, Size: size.Times(2), FreeResources: size.Times(2)}
 	for _, row := range []struct {
 		name     string
 		slackS   float64
-		machine  Offer // offer of the only machine, which is full
+		overdue  bool
+		machine  MachineSummary // the only machine
 		allows   Offer
 		expected int
+		reason   WaitReason
 	}{
-		{name: "in time", slackS: 45, allows: onDemand, expected: tasks},
-		{name: "late", slackS: 44, allows: onDemand, expected: tasks / lateTasksDivisor},
-		{name: "late, with an existing machine", slackS: 44, machine: onDemand, allows: onDemand, expected: 0},
-		{name: "in time, with an existing machine", slackS: 45, machine: onDemand, allows: onDemand, expected: tasks},
-		{name: "late spot instances", slackS: 44, machine: spot, allows: spot, expected: tasks},
+		{name: "in time", slackS: 45, allows: onDemand, expected: tasks, reason: WaitsForLaunch},
+		{name: "late", slackS: 44, allows: onDemand, expected: tasks / lateTasksDivisor, reason: WaitsForLaunch},
+		{name: "late, beside an array", slackS: 44, machine: array, allows: onDemand, expected: 0, reason: WaitsForCompletion},
+		{name: "late, beside services", slackS: 44, machine: services, allows: onDemand, expected: tasks / lateTasksDivisor, reason: WaitsForLaunch},
+		{name: "late, beside an array on a machine that is too small", slackS: 44, machine: tooSmall, allows: onDemand, expected: tasks / lateTasksDivisor, reason: WaitsForLaunch},
+		{name: "late, beside an array on a machine that is not allowed", slackS: 44, machine: spotArray, allows: onDemand, expected: tasks / lateTasksDivisor, reason: WaitsForLaunch},
+		{name: "in time, beside an array", slackS: 45, machine: array, allows: onDemand, expected: tasks, reason: WaitsForLaunch},
+		{name: "overdue, beside an array", slackS: -500, overdue: true, machine: array, allows: onDemand, expected: tasks / lateTasksDivisor, reason: WaitsForLaunch},
+		{name: "overdue, with room for the share", slackS: -500, overdue: true, machine: empty, allows: onDemand, expected: 0, reason: WaitsForRoom},
+		{name: "late, with room that the first tasks take", slackS: 44, machine: empty, allows: onDemand, expected: 0, reason: WaitsForCompletion},
+		{name: "late spot instances", slackS: 44, machine: spotArray, allows: spot, expected: tasks, reason: WaitsForLaunch},
+		{name: "no offer", slackS: 44, machine: services, expected: 0, reason: WaitsForOffer},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			plan := newScalingPlan([]*MachineSummary{{Type: row.machine.Type, Spot: row.machine.Spot}}, []PricedOffer{
+			plan := newScalingPlan([]*MachineSummary{&row.machine}, []PricedOffer{
 				{Offer: onDemand, Size: size, Price: 1, BootS: 25},
 				{Offer: spot, Size: size, Price: 1, BootS: 25},
 			}, 0)
 			plan.Place(Demand{
-				Class: "x", TaskSize: size, Count: tasks, EstimateS: 20, SlackS: row.slackS,
+				Class: "x", TaskSize: size, Count: tasks, EstimateS: 20, SlackS: row.slackS, Overdue: row.overdue,
 				AllowsOffer: func(offer Offer) bool { return offer == row.allows },
 			})
 			if got := plan.Launches[row.allows]; got != row.expected {
 				t.Errorf("expected launches of %d machines, got %d", row.expected, got)
 			}
+			if plan.Waits[row.reason] != tasks || !plan.Shortage {
+				t.Errorf("expected a shortage, and that all tasks wait for reason %d; got %v, %v", row.reason, plan.Shortage, plan.Waits)
+			}
 		})
 	}
 }
 
+// The launches for late arrays come to an end, however many there are and whatever becomes of the
+// machines that are launched: each has a share of its tasks on machines, or waits for its turn.
+func TestLaunchesForLateArraysAreBounded(t *testing.T) {
+	size := scheduling.NewResources(1, 0, 1)
+	offers := []PricedOffer{{Offer: Offer{Type: "on demand"}, Size: size.Times(4), Price: 1, BootS: 25}}
+	rapid.Check(t, func(t *rapid.T) {
+		overdue := rapid.Bool().Draw(t, "overdue")
+		var demands []Demand
+		share := 0
+		for range rapid.IntRange(1, 10).Draw(t, "arrays") {
+			count := rapid.IntRange(1, 60).Draw(t, "tasks")
+			demands = append(demands, Demand{Class: "x", TaskSize: size, Count: count, EstimateS: 20, Overdue: overdue, AllowsOffer: anyOffer})
+			share += divideRoundingUp(count, lateTasksDivisor)
+		}
+		var machines []*MachineSummary
+		for {
+			plan := newScalingPlan(machines, offers, 0)
+			for _, demand := range demands {
+				plan.Place(demand)
+			}
+			launched := len(plan.Machines) - len(machines)
+			if launched == 0 {
+				break
+			}
+			for _, planned := range plan.Machines[len(machines):] {
+				machines = append(machines, &MachineSummary{Type: planned.Type, Size: planned.Size, FreeResources: planned.Size, Booting: true})
+			}
+		}
+		if len(machines) > share {
+			t.Fatalf("expected at most %d machines, one for each task of the arrays' shares, got %d", share, len(machines))
+		}
+	})
+}
+
 // A quarter of the running tasks of a class is expected to share the machines that are launched for
 // the class.
 func TestExpectedTasksFavorLargerMachines(t *testing.T) {
