Jobs of other zones are tried although one of their kind finds no room

What callers saw: jobs that had room on idle machines never started while a similar job waited.

Cause: a pass of the leader that finds no room for a job skips all jobs of its equivalence class. The class doesn't know the zone that a samePlace job has chosen, nor how many of a spread job's tasks a zone may still have. So a job without room in its own zone held up all others for as long as it waited, without a deadline for ever: what they waited for had nothing to do with them.

Change: assignmentClass includes the zone of a samePlace job, and the job for those with spread. The demand of a skipped job names its zone, too. The simulated cloud gets a limit for each zone.

Tests: TestJobWithoutRoomInItsZoneDoesNotHoldUpOthers and TestSpreadJobDoesNotHoldUpOthers, each seen to fail before ("timed out after 2m0s waiting for: wk-2 is done").

Tried and left out: including in the class whether a job may use the gang reserve.

--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -30,10 +30,10 @@
 		teamQuotas:           c.quotas(),
 		demands:              demands,
 		tasksAhead:           c.maxTasksAhead(unplacedTasks),
-		exhaustedClasses:     map[string]bool{},
-		replicaDemandIndexes: map[string]int{},
+		exhaustedClasses:     map[assignmentClass]bool{},
+		replicaDemandIndexes: map[assignmentClass]int{},
 		quotaLimitedTeams:    map[scheduling.TeamIndex]bool{},
-		placeableClasses:     map[string]bool{},
+		placeableClasses:     map[assignmentClass]bool{},
 	}
 	c.leadership.tasksOverLimit = 0
 	for _, job := range waitingJobs {
@@ -66,17 +66,39 @@
 	demands []planning.Demand
 	// tasksAhead is how many tasks each partition may be assigned beyond its free room.
 	tasksAhead []int
-	// exhaustedClasses holds the equivalence classes of jobs for which there was too little
-	// room.
-	exhaustedClasses map[string]bool
-	// replicaDemandIndexes maps an equivalence class to the index in demands of its
-	// single-replica services that found no room.
-	replicaDemandIndexes map[string]int
+	// exhaustedClasses holds the classes of jobs for which there was too little room.
+	exhaustedClasses map[assignmentClass]bool
+	// replicaDemandIndexes maps a class to the index in demands of its single-replica services
+	// that found no room.
+	replicaDemandIndexes map[assignmentClass]int
 	// quotaLimitedTeams holds the teams that have a job waiting for the team's quota.
 	quotaLimitedTeams map[scheduling.TeamIndex]bool
-	// placeableClasses caches the results of isPlaceable, by equivalence class (and zone, for
-	// single-zone jobs).
-	placeableClasses map[string]bool
+	// placeableClasses caches the results of isPlaceable.
+	placeableClasses map[assignmentClass]bool
+}
+
+// assignmentClass identifies jobs whose unassigned tasks can be placed on the same machines: if
+// there is no room for one of the jobs, there is none for the others.
+type assignmentClass struct {
+	equivalenceClass string
+	// singleZone is set for jobs whose tasks must be in one zone: zone, or any if it is "".
+	singleZone bool
+	zone       string
+	// spreadJob is the ID of a job that spreads over zones. How many of its tasks a zone may
+	// have depends on where its other tasks are.
+	spreadJob string
+}
+
+// assignmentClass returns the class of a job.
+func (a *assignmentPass) assignmentClass(j *job) assignmentClass {
+	class := assignmentClass{equivalenceClass: j.equivalenceClass, singleZone: j.spec.SingleZone}
+	if j.spec.SingleZone {
+		class.zone = a.zoneOfJob(j)
+	}
+	if j.spec.SpreadsZones {
+		class.spreadJob = j.id
+	}
+	return class
 }
 
 // assignJob assigns the tasks of one job that are not assigned yet.
@@ -119,10 +141,10 @@
 	if forced > 0 {
 		remaining = min(remaining, forced)
 	}
-	if a.exhaustedClasses[j.equivalenceClass] && !j.spec.IsAllOrNothing() && forced == 0 {
+	if a.exhaustedClasses[a.assignmentClass(j)] && !j.spec.IsAllOrNothing() && forced == 0 {
 		// The jobs of a class are alike: if there was no room for one of them, there is none
 		// for those after it.
-		a.demands = append(a.demands, a.demand(j, "", quota.RemainingTasks(j.taskSize, remaining)))
+		a.demands = append(a.demands, a.demand(j, a.requiredZone(j), quota.RemainingTasks(j.taskSize, remaining)))
 		return
 	}
 	if a.joinReplicaDemand(j) {
@@ -144,7 +166,7 @@
 // if another service of the class found no room, and reports whether it did. A loss of many
 // machines leaves many such services.
 func (a *assignmentPass) joinReplicaDemand(j *job) bool {
-	index, found := a.replicaDemandIndexes[j.equivalenceClass]
+	index, found := a.replicaDemandIndexes[a.assignmentClass(j)]
 	quota := &a.teamQuotas[j.team]
 	if !found || j.spec.TaskCount != 1 || quota.RemainingTasks(j.taskSize, 1) < 1 {
 		return false
@@ -170,19 +192,16 @@
 		return
 	}
 	if j.spec.IsAllOrNothing() && j.spec.TaskCount == 1 && !a.hasLoanFor(j) {
-		a.replicaDemandIndexes[j.equivalenceClass], unassignedDemand.GroupCount = len(a.demands), 1
+		a.replicaDemandIndexes[a.assignmentClass(j)], unassignedDemand.GroupCount = len(a.demands), 1
 	}
 	a.demands = append(a.demands, unassignedDemand)
-	a.exhaustedClasses[j.equivalenceClass] = true
+	a.exhaustedClasses[a.assignmentClass(j)] = true
 }
 
 // isPlaceable reports the result of canPlaceTask, which it computes once for all jobs of a
 // class.
 func (a *assignmentPass) isPlaceable(j *job) bool {
-	class := j.equivalenceClass
-	if j.spec.SingleZone {
-		class += "/" + a.zoneOfJob(j)
-	}
+	class := a.assignmentClass(j)
 	placeable, known := a.placeableClasses[class]
 	if !known {
 		placeable = a.canPlaceTask(a.summaries, j)
--- /dev/null
+++ b/internal/controller/waiting_jobs_test.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"eiderhitch/internal/wire"
+)
+
+// A job found no room in the zone that its first tasks had chosen, and the leader concluded that
+// similar jobs find none in other zones: they never started.
+func TestJobWithoutRoomInItsZoneDoesNotHoldUpOthers(t *testing.T) {
+	runCluster(t, func(c *cluster) {
+		c.env.Cloud.SetZoneCapacity("a", 1)
+		c.startServiceOn("wk-9", "large")
+		newArray := func(id string, tasks int, estimateS float64) *submission {
+			return newSubmission(submission{ID: id, Kind: wire.KindArray, Team: "blue", Priority: "normal", Tasks: tasks, CPUs: 3, EstimateS: estimateS, SingleZone: true})
+		}
+		c.submit(newArray("wk-1", 60, 3600))
+		c.await("the first array takes the room in zone a", time.Minute, func() bool { return c.env.CountRunningTasks("wk-1") == 4 })
+		c.submitZonalServices(10, 1, "b")
+		c.submit(newArray("wk-2", 3, 5))
+		c.await("a machine in zone b runs a service", time.Minute, func() bool { return c.env.CountRunningTasks("wk-10") == 1 })
+		c.cancelJob("wk-10")
+		c.awaitDone("wk-2", 2*time.Minute)
+	})
+}
+
+// The second task of a job that spreads over zones found no room beside the first one, and the leader
+// concluded that similar jobs find none: they never started.
+func TestSpreadJobDoesNotHoldUpOthers(t *testing.T) {
+	runCluster(t, func(c *cluster) {
+		c.env.Cloud.SetZoneCapacity("b", 0)
+		c.startServiceOn("wk-9", "large")
+		first := newSubmission(submission{ID: "wk-1", Kind: wire.KindArray, Team: "blue", Priority: "normal", Tasks: 2, CPUs: 3, EstimateS: 3600})
+		first.Spread = true
+		c.submit(first)
+		c.await("the first task runs in zone a", time.Minute, func() bool { return c.env.CountRunningTasks("wk-1") == 1 })
+		c.submit(newSubmission(submission{ID: "wk-2", Kind: wire.KindArray, Team: "blue", Priority: "normal", Tasks: 3, CPUs: 3, EstimateS: 5}))
+		c.awaitDone("wk-2", 2*time.Minute)
+	})
+}
--- a/internal/simulation/cloud/cloud.go
+++ b/internal/simulation/cloud/cloud.go
@@ -37,6 +37,7 @@
 	launchedByKey map[string][]string // names of machines by the idempotency key of their launch request
 	unavailable   bool
 	capacity      int
+	zoneCapacity  map[string]int // maximum number of machines in a zone; a zone without an entry has no limit
 }
 
 // instance is a launched machine.
@@ -48,7 +49,7 @@
 
 // New returns a cloud that offers the given machine types.
 func New(fleet *agent.Fleet, types []wire.MachineType) *Cloud {
-	return &Cloud{fleet: fleet, types: types, launchedByKey: map[string][]string{}, capacity: defaultCapacity}
+	return &Cloud{fleet: fleet, types: types, launchedByKey: map[string][]string{}, capacity: defaultCapacity, zoneCapacity: map[string]int{}}
 }
 
 // SetUnavailable begins or ends an outage of the cloud's API. Machines keep running during an
@@ -68,6 +69,14 @@
 	return previous
 }
 
+// SetZoneCapacity sets the maximum number of machines in a zone at a time, in addition to that of
+// SetCapacity.
+func (c *Cloud) SetZoneCapacity(zone string, capacity int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zoneCapacity[zone] = capacity
+}
+
 // Agents returns the agents of all machines that aren't released, in the order of launch.
 func (c *Cloud) Agents() []*agent.Agent {
 	c.mu.Lock()
@@ -121,7 +130,10 @@
 		reply(w, http.StatusOK, wire.MachineNames{Names: names})
 		return
 	}
-	count := min(request.Count, c.capacity-c.countInstances())
+	count := min(request.Count, c.capacity-c.countInstances(""))
+	if limit, limited := c.zoneCapacity[request.Zone]; limited {
+		count = min(count, limit-c.countInstances(request.Zone))
+	}
 	if count <= 0 {
 		reply(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
 		return
@@ -157,11 +169,12 @@
 	return fmt.Sprintf("10.1.%d.%d:9000", number/perSubnet, number%perSubnet)
 }
 
-// countInstances returns how many machines aren't released. The caller holds c.mu.
-func (c *Cloud) countInstances() int {
+// countInstances returns how many machines of a zone, or of all zones if zone is "", aren't
+// released. The caller holds c.mu.
+func (c *Cloud) countInstances(zone string) int {
 	count := 0
 	for _, i := range c.instances {
-		if i != nil {
+		if i != nil && (zone == "" || i.Zone == zone) {
 			count++
 		}
 	}
