A limit is not reserved for a job that the team's services leave no room for

Cause: an all-or-nothing job that waits reserves its team's limit, and the team's less urgent tasks are throttled, in the expectation that the limit becomes free as tasks complete. Services hold it until users cancel them.

Change: Quota.ServiceUsage is the part of the usage that unfinished services hold. A limit is reserved, and other tasks are throttled, only for a job that fits beside it: one task of an array, all remaining tasks of another job. As soon as a service is cancelled, the larger one reserves the limit again.

Test: TestLimitIsNotReservedForServiceBesideServices, seen to fail before ("timed out after 1m0s waiting for: wk-5 is done").

--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -127,7 +127,7 @@
 // deferTasks records the demand of a job of which no more tasks are assigned now.
 func (a *assignmentPass) deferTasks(j *job, remaining int) {
 	count := a.teamQuotas[j.team].RemainingTasks(j.taskSize, remaining)
-	if !a.quotaLimitedTeams[j.team] && count < remaining && a.isPlaceable(j) {
+	if !a.quotaLimitedTeams[j.team] && count < remaining && a.limitsTeam(j, remaining) {
 		a.quotaLimitedTeams[j.team] = true
 	}
 	a.demands = append(a.demands, a.demand(j, "", count))
@@ -154,14 +154,19 @@
 	a.throttleForQuota(j, remaining)
 	unassignedDemand := a.assignWithinQuota(j, assignmentRequest{previouslyAssignedTasks: assigned, remainingTasks: remaining, force: forced > 0})
 	a.recordDemand(j, unassignedDemand)
-	if j.spec.IsAllOrNothing() && quota.Usage == usedBefore && (a.now.Sub(j.acceptedAt) < quotaHoldTimeout || a.isPlaceable(j)) {
-		// An all-or-nothing job that waits reserves its team's quota ahead of the jobs after
-		// it. If no machine can run it, the reservation ends after quotaHoldTimeout, since a
-		// suitable machine may never become available.
+	if j.spec.IsAllOrNothing() && quota.Usage == usedBefore && a.reservesQuota(j, remaining) {
 		quota.Usage = usedBefore.Plus(j.taskSize.Times(remaining))
 	}
 }
 
+// reservesQuota reports whether an all-or-nothing job that waits reserves its team's quota ahead of the
+// jobs after it. If no machine can run it, the reservation ends after quotaHoldTimeout, since a
+// suitable machine may never become available. It reserves nothing if the team's services leave it
+// too little: otherwise all other jobs of the team wait until a user cancels a service.
+func (a *assignmentPass) reservesQuota(j *job, remaining int) bool {
+	return a.fitsBesideServices(j, remaining) && (a.now.Sub(j.acceptedAt) < quotaHoldTimeout || a.isPlaceable(j))
+}
+
 // joinReplicaDemand adds a service with one replica to the demand of its equivalence class,
 // if another service of the class found no room, and reports whether it did. A loss of many
 // machines leaves many such services.
@@ -180,7 +185,7 @@
 // little room for the job.
 func (a *assignmentPass) throttleForQuota(j *job, remaining int) {
 	quota := &a.teamQuotas[j.team]
-	if quota.RemainingTasks(j.taskSize, remaining) < remaining && a.isPlaceable(j) {
+	if quota.RemainingTasks(j.taskSize, remaining) < remaining && a.limitsTeam(j, remaining) {
 		a.quotaLimitedTeams[j.team] = true
 		a.throttleTeam(j, quota.Shortfall(j.taskSize.Times(remaining)))
 	}
@@ -198,6 +203,23 @@
 	a.exhaustedClasses[a.assignmentClass(j)] = true
 }
 
+// fitsBesideServices reports whether the team's services leave enough of its limit for one task of an
+// array, or for all remaining tasks of another job. What other jobs of the team use becomes free when
+// they complete.
+func (a *assignmentPass) fitsBesideServices(j *job, remaining int) bool {
+	needed := j.taskSize
+	if j.spec.IsAllOrNothing() {
+		needed = j.taskSize.Times(remaining)
+	}
+	return a.teamQuotas[j.team].FitsBesideServices(needed)
+}
+
+// limitsTeam reports whether jobs of lower urgency of a job's team are throttled for it when the team's
+// limit has too little room: the limit and the machines can have room for it.
+func (a *assignmentPass) limitsTeam(j *job, remaining int) bool {
+	return a.fitsBesideServices(j, remaining) && a.isPlaceable(j)
+}
+
 // isPlaceable reports the result of canPlaceTask, which it computes once for all jobs of a
 // class.
 func (a *assignmentPass) isPlaceable(j *job) bool {
--- a/internal/controller/job_assignment.go
+++ b/internal/controller/job_assignment.go
@@ -196,6 +196,9 @@
 func (s *jobAssignment) chargeQuota() {
 	quota := &s.pass.teamQuotas[s.job.team]
 	quota.Usage = quota.Usage.Plus(s.job.taskSize.Times(s.assignedTasks))
+	if s.job.spec.Service {
+		quota.ChargeService(s.job.taskSize.Times(s.assignedTasks))
+	}
 	for i := range s.groups {
 		if group := &s.groups[i]; group.Guaranteed {
 			quota.GuaranteedUsage = quota.GuaranteedUsage.Plus(s.job.taskSize.Times(len(group.Tasks)))
--- a/internal/controller/quota_usage.go
+++ b/internal/controller/quota_usage.go
@@ -17,6 +17,9 @@
 		// cancelled job counts until it is proven to be gone.
 		use := group.job.taskSize.Times(group.quotaTaskCount(c.replica.Cursor()))
 		quotas[group.job.team].Charge(use, group.guaranteed)
+		if group.job.spec.Service && group.job.finalState == record.StateUnfinished {
+			quotas[group.job.team].ChargeService(use)
+		}
 	}
 	for _, job := range c.activeJobs {
 		if job.finalState == record.StateUnfinished && job.spec != nil {
--- a/internal/controller/waiting_jobs_test.go
+++ b/internal/controller/waiting_jobs_test.go
@@ -7,6 +7,35 @@
 	"eiderhitch/internal/wire"
 )
 
+// A service that exceeds its team's limit beside the team's other services reserved the limit for ever,
+// and stopped the team's tasks of lower priority, although only a user could make room for it.
+func TestLimitIsNotReservedForServiceBesideServices(t *testing.T) {
+	runCluster(t, func(c *cluster) {
+		service := func(id string, cpus float64) *submission {
+			return newSubmission(submission{ID: id, Kind: wire.KindService, Team: "red", Priority: "urgent", Tasks: 1, CPUs: cpus})
+		}
+		c.submit(service("wk-1", 14))
+		c.submit(newSubmission(submission{ID: "wk-2", Kind: wire.KindArray, Team: "red", Priority: "low", Tasks: 1, CPUs: 2, EstimateS: 600}))
+		c.await("the service and the array run", time.Minute, func() bool {
+			return c.env.CountRunningTasks("wk-1") == 1 && c.env.CountRunningTasks("wk-2") == 1
+		})
+		running := c.env.CountStartedTasks()
+		c.submit(service("wk-3", 12)) // 26 CPUs of 24
+		c.startServiceOn("wk-4", "large")
+		time.Sleep(10 * time.Second)
+		c.submit(newSubmission(submission{ID: "wk-5", Kind: wire.KindArray, Team: "red", Priority: "normal", Tasks: 2, CPUs: 2, EstimateS: 5}))
+		c.submit(service("wk-6", 2))
+		c.awaitDone("wk-5", time.Minute)
+		c.await("the smaller service runs", time.Minute, func() bool { return c.env.CountRunningTasks("wk-6") == 1 })
+		const newTasks = 4 // the service on another team's quota, the array's two tasks and the smaller service
+		if started := c.env.CountStartedTasks() - running; started != newTasks {
+			t.Errorf("%d tasks started, want %d: a task was stopped and started again", started, newTasks)
+		}
+		c.cancelJob("wk-1")
+		c.await("the larger service runs once there is room", time.Minute, func() bool { return c.env.CountRunningTasks("wk-3") == 1 })
+	})
+}
+
 // A job found no room in the zone that its first tasks had chosen, and the leader concluded that
 // similar jobs find none in other zones: they never started.
 func TestJobWithoutRoomInItsZoneDoesNotHoldUpOthers(t *testing.T) {
--- a/internal/planning/quota.go
+++ b/internal/planning/quota.go
@@ -10,6 +10,15 @@
 	Guarantee, Limit scheduling.Resources
 	// Usage counts toward Limit. It includes GuaranteedUsage, which counts toward Guarantee.
 	Usage, GuaranteedUsage scheduling.Resources
+	// ServiceUsage is the part of Usage that replicas of unfinished services hold. It becomes free
+	// only when users cancel services.
+	ServiceUsage scheduling.Resources
+}
+
+// FitsBesideServices reports whether the limit permits a demand once all tasks but the replicas of
+// services have ended.
+func (q *Quota) FitsBesideServices(demand scheduling.Resources) bool {
+	return remainingUnderLimit(q.Limit, q.ServiceUsage, demand, 1) == 1
 }
 
 // RemainingTasks returns how many more tasks of a size the limit permits, at most count.
@@ -59,6 +68,9 @@
 	return min(count, int(max(0, limit-used)/size))
 }
 
+// ChargeService adds the amount that replicas of a service hold, beside Charge.
+func (q *Quota) ChargeService(use scheduling.Resources) { q.ServiceUsage = q.ServiceUsage.Plus(use) }
+
 // Charge adds an amount to the usage, and to the usage of the guaranteed quota if guaranteed is
 // set.
 func (q *Quota) Charge(use scheduling.Resources, guaranteed bool) {
