The plan of machines judges room by zone for jobs that start together in one zone

What callers saw: a samePlace service whose replicas had room in two zones together, but not in one, never started, and no machine was launched for it. Headroom for the class could hide it.

Cause: ScalingPlan.Place added up the free resources of all zones and saw no demand; the leader assigns such a job to one zone. What one refused, the other counted as room.

Change: for a demand that starts together in one zone, the plan chooses a zone first: one that has room for all tasks, else one in which machines can be launched, the one with most room. Also, tasks that no offer suits now are counted as waiting for an offer.

Tests: TestSingleZoneServiceGetsMachine, seen to fail before ("timed out after 2m0s waiting for: the service runs"); TestPlaceInOneZone over generated machines and offers.

--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -31,6 +31,7 @@
 		Count:              count,
 		AllOrNothing:       spec.IsAllOrNothing(),
 		Overdue:            timing.IsOverdue(),
+		SingleZone:         spec.SingleZone,
 		RunsUntilCancelled: spec.Service,
 		EstimateS:          spec.EstimateS,
 		CompletionWindowS:  timing.CompletionWindowS(),
--- a/internal/controller/gang_reserve_fill.go
+++ b/internal/controller/gang_reserve_fill.go
@@ -141,6 +141,7 @@
 		TaskSize:     class.taskSize,
 		Count:        count,
 		AllOrNothing: true,
+		SingleZone:   spec.SingleZone,
 		EstimateS:    spec.EstimateS,
 		SlackS:       math.Inf(1),
 		AllowsOffer: func(offer planning.Offer) bool {
--- a/internal/controller/waiting_jobs_test.go
+++ b/internal/controller/waiting_jobs_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"eiderhitch/internal/config"
 	"eiderhitch/internal/wire"
 )
 
@@ -69,3 +70,21 @@
 		c.awaitDone("wk-2", 2*time.Minute)
 	})
 }
+
+// The plan of machines counted the room of all zones for a service whose replicas must be in one: it
+// launched no machine although no zone had room for them. Headroom would hide this.
+func TestSingleZoneServiceGetsMachine(t *testing.T) {
+	withoutHeadroom := func(n *node) {
+		n.operatorConfig = config.DefaultOperatorSettings()
+		n.operatorConfig.Headroom = 0
+	}
+	runClusterWithSetup(t, withoutHeadroom, func(c *cluster) {
+		c.submitZonalServices(1, 1, "a")
+		c.submitZonalServices(2, 1, "b")
+		c.await("a machine with room in each zone is up", time.Minute, func() bool { return c.areServicesRunning(2, 1) })
+		service := newSubmission(submission{ID: "wk-3", Kind: wire.KindService, Team: "blue", Priority: "urgent", Tasks: 2, CPUs: 2, SingleZone: true})
+		service.MachineTypes = []string{"small"}
+		c.submit(service)
+		c.await("the service runs", 2*time.Minute, func() bool { return c.env.CountRunningTasks("wk-3") == 2 })
+	})
+}
--- a/internal/planning/scaling.go
+++ b/internal/planning/scaling.go
@@ -28,6 +28,8 @@
 	Overdue bool
 	// RunsUntilCancelled is set for the replicas of services, which don't complete.
 	RunsUntilCancelled bool
+	// SingleZone is set if all tasks must be in the same zone, whichever it is.
+	SingleZone bool
 	// AllowsOffer reports whether the tasks may run on machines of an offer.
 	AllowsOffer OfferFilter
 }
@@ -81,6 +83,9 @@
 // Place places the tasks of a demand in the free resources of the machines, and plans launches for
 // the tasks that don't fit.
 func (p *ScalingPlan) Place(demand Demand) {
+	if demand.SingleZone && demand.AllOrNothing {
+		demand.AllowsOffer = demand.offersInZone(p.chooseZone(&demand))
+	}
 	p.Waits[p.place(&demand)] += demand.totalTasks()
 }
 
@@ -99,7 +104,7 @@
 	if len(timelyOffers) > 0 {
 		return p.planLaunches(demand, timelyOffers, tasks)
 	}
-	if p.getsRoomByCompletions(demand) {
+	if len(lateOffers) > 0 && p.getsRoomByCompletions(demand) {
 		return WaitsForCompletion
 	}
 	return p.planLaunches(demand, lateOffers, divideRoundingUp(tasks, lateTasksDivisor))
--- a/internal/planning/scaling_test.go
+++ b/internal/planning/scaling_test.go
@@ -193,6 +193,41 @@
 	})
 }
 
+// If all tasks must start together in one zone, the machines and launches of one zone hold all of them,
+// unless no zone with room or offers can: room in several zones doesn't add up.
+func TestPlaceInOneZone(t *testing.T) {
+	offerSize := scheduling.NewResources(4, 0, 64)
+	rapid.Check(t, func(t *rapid.T) {
+		machines := drawMachines(t)
+		var offers []PricedOffer
+		for _, zone := range []string{"a", "b"} {
+			if rapid.Bool().Draw(t, "offer in "+zone) {
+				offers = append(offers, PricedOffer{Offer: Offer{Type: "4000", Zone: zone}, Size: offerSize, Price: 1, BootS: 25})
+			}
+		}
+		demand := Demand{
+			Class: "x", TaskSize: drawCPUs(t, "task cpus", 1, 4), Count: rapid.IntRange(1, 30).Draw(t, "count"),
+			AllOrNothing: true, SingleZone: true, AllowsOffer: anyOffer,
+		}
+		plan := newScalingPlan(machines, offers, 0)
+		plan.Place(demand)
+		capacity := map[string]int{}
+		for _, machine := range machines {
+			capacity[machine.Zone] += machine.FreeResources.CountFitting(demand.TaskSize, demand.Count)
+		}
+		hasRoom := max(capacity["a"], capacity["b"]) >= demand.Count
+		for offer, count := range plan.Launches {
+			capacity[offer.Zone] += count * offerSize.CountFitting(demand.TaskSize, unlimited)
+		}
+		if hasRoom && len(plan.Launches) > 0 {
+			t.Fatalf("expected no launches beside a zone with room for all tasks, got %v", plan.Launches)
+		}
+		if len(offers) > 0 && max(capacity["a"], capacity["b"]) < demand.Count {
+			t.Fatalf("expected room for %d tasks in one zone, got %v", demand.Count, capacity)
+		}
+	})
+}
+
 // A quarter of the running tasks of a class is expected to share the machines that are launched for
 // the class.
 func TestExpectedTasksFavorLargerMachines(t *testing.T) {
