Launch machines in another zone for a samePlace job that may leave its own

What callers saw: a samePlace array that had lost its machines, in a zone where the cloud had none left, never ran again, although the cloud had machines in another zone.

Cause: moveToOtherZone moves such a job to a zone that has room, but the demand for machines stayed bound to the former zone, so that no room arose elsewhere: the one waited for the other.

Change: while a job may change its zone, machines for it may be launched in any zone (zoneForLaunches). Once they are up, moveToOtherZone moves it.

Test: TestSingleZoneJobLeavesZoneWithoutOffers, the row for arrays seen to fail before ("timed out after 3m0s waiting for: the job runs in the other zone"); services and gangs passed before.

--- a/internal/controller/unplaced_tasks.go
+++ b/internal/controller/unplaced_tasks.go
@@ -109,7 +109,7 @@
 			exhaustedClasses[class] = true
 		}
 		if !c.moveToOtherZone(summaries, group) {
-			demands = append(demands, c.demand(group.job, group.zone, count))
+			demands = append(demands, c.demand(group.job, c.zoneForLaunches(group), count))
 		}
 	}
 	return demands
--- a/internal/controller/waiting_jobs_test.go
+++ b/internal/controller/waiting_jobs_test.go
@@ -88,3 +88,21 @@
 		c.await("the service runs", 2*time.Minute, func() bool { return c.env.CountRunningTasks("wk-3") == 2 })
 	})
 }
+
+// An array whose tasks must be in one zone lost all machines there, and the cloud had none left in that
+// zone: it was bound to the zone and got no machine in another one.
+func TestSingleZoneJobLeavesZoneWithoutOffers(t *testing.T) {
+	for _, kind := range []string{wire.KindArray, wire.KindService, wire.KindGang} {
+		t.Run(kind, func(t *testing.T) {
+			runCluster(t, func(c *cluster) {
+				job := newSubmission(submission{ID: "wk-1", Kind: kind, Team: "blue", Priority: "normal", Tasks: 2, CPUs: 2, EstimateS: 60, SingleZone: true, MachineTypes: []string{"small"}})
+				c.submit(job)
+				c.await("the job runs", time.Minute, func() bool { return c.env.CountRunningTasks("wk-1") == 2 })
+				lost := c.agentWithJob("wk-1")
+				c.env.Cloud.SetZoneCapacity(lost.Zone(), 0)
+				lost.Terminate()
+				c.await("the job runs in the other zone", 3*time.Minute, func() bool { return c.env.CountRunningTasks("wk-1") == 2 })
+			})
+		})
+	}
+}
--- a/internal/controller/zone_moves.go
+++ b/internal/controller/zone_moves.go
@@ -46,6 +46,18 @@
 	return true
 }
 
+// zoneForLaunches returns the zone in which machines are launched for a group's tasks, or "" if they may
+// be launched in any. A job that may change its zone moves there once they are up. The cloud may
+// have no machines left in its own zone.
+func (c *leader) zoneForLaunches(group *taskGroup) string {
+	if c.canChangeZone(group) {
+		if _, ok := tasksToMove(group); ok {
+			return ""
+		}
+	}
+	return group.zone
+}
+
 // newZoneMoveWrite returns the write that moves all groups of a job that is not a gang to another
 // zone. It and an assignment of further tasks to the former zone void each other, whichever is stored
 // first: the assignment creates the next group or reuses one without tasks, and this write does
