--- a/internal/controller/fault_machine_effects_test.go
+++ b/internal/controller/fault_machine_effects_test.go
@@ -57,10 +57,20 @@
 	return func() { s.env.Cloud.SetUnavailable(false) }
 }
 
-// freezeCapacity limits the cloud to the number of machines that exist now.
+// freezeCapacity limits the cloud to the number of machines that exist now. The former limit applies
+// again when the last of several overlapping faults ends.
 func (s *scheduleRun) freezeCapacity(fault) func() {
-	oldCapacity := s.env.Cloud.SetCapacity(len(s.env.Cloud.Agents()))
-	return func() { s.env.Cloud.SetCapacity(oldCapacity) }
+	previous := s.env.Cloud.SetCapacity(len(s.env.Cloud.Agents()))
+	if s.capacityFreezes == 0 {
+		s.fullCapacity = previous
+	}
+	s.capacityFreezes++
+	return func() {
+		s.capacityFreezes--
+		if s.capacityFreezes == 0 {
+			s.env.Cloud.SetCapacity(s.fullCapacity)
+		}
+	}
 }
 
 // maxCopyDelay is the upper bound of the random delay of a duplicate heartbeat. Late duplicates are
--- a/internal/controller/fault_schedule_test.go
+++ b/internal/controller/fault_schedule_test.go
@@ -21,7 +21,12 @@
 	lastPolicyID int
 	// insufficientCapacity says that the cloud has too few machines to run all jobs at a time.
 	insufficientCapacity bool
-	savedHeartbeats      map[string][]byte // encoded heartbeats by machine
+	// capacityFreezes is the number of active noCapacity faults. fullCapacity is the cloud's capacity
+	// without them.
+	capacityFreezes, fullCapacity int
+	// drawJob returns a random job of the kinds that users submit in the schedule.
+	drawJob         func() *submission
+	savedHeartbeats map[string][]byte // encoded heartbeats by machine
 
 	// The goroutines of users share the following fields and rng. cluster.mu guards them.
 	submittedIDs       []string // IDs of all submitted jobs in order, accepted or not
@@ -85,6 +90,7 @@
 func newScheduleRun(c *cluster, seed uint64) *scheduleRun {
 	s := &scheduleRun{cluster: c, seed: seed, rng: rand.New(rand.NewPCG(seed, scheduleSeed)), submissions: map[string]*submission{},
 		handledCompletions: map[string]bool{}, cancelRequested: map[string]bool{}, savedHeartbeats: map[string][]byte{}}
+	s.drawJob = s.drawJobOfAnyKind
 	for i, n := range c.nodes {
 		s.policies = append(s.policies, map[int]network.FaultPolicy{})
 		n.transport.SetDelay(minRequestDelay, requestDelayJitter)
--- a/internal/controller/fault_user_effects_test.go
+++ b/internal/controller/fault_user_effects_test.go
@@ -217,9 +217,13 @@
 	return doNothing
 }
 
-// submitRandomJob submits a job of a random kind in the background.
-func (s *scheduleRun) submitRandomJob() {
+// submitRandomJob submits a random job in the background.
+func (s *scheduleRun) submitRandomJob() { s.submitAsync(s.drawJob()) }
+
+// drawJobOfAnyKind returns a job of a random kind.
+func (s *scheduleRun) drawJobOfAnyKind() *submission {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	kind := s.rng.IntN(8)
 	team, priority := []string{"red", "blue"}[s.rng.IntN(2)], []string{"low", "normal"}[s.rng.IntN(2)]
 	job := newSubmission(submission{Kind: wire.KindArray, Team: team, Priority: priority, Tasks: 2 + s.rng.IntN(12), CPUs: 1})
@@ -239,8 +243,7 @@
 		job.Kind, job.Tasks, job.CheckpointS, job.SaveS = wire.KindGang, 2+s.rng.IntN(4), 4, 1.5
 		job.SingleZone, job.ImageGB = kind == 5, float64(1+s.rng.IntN(5))
 	}
-	s.mu.Unlock()
-	s.submitAsync(job)
+	return job
 }
 
 // submitAsync assigns an ID to a job and submits it in the background.
