Tests: late copies of answered starts while a controller or machine is back within a second

On a service like this one a task ran on two machines, and a cancelled task ran again: a controller or machine was back within a second, and a late copy of a start command that had been carried out and answered reached the machine once more.

Why it can't happen here: a controller that is back acquires its keys under a new revision, which is higher than any token of its former process, raised ones included; a machine that has lost its tasks is in a later session, and refuses commands for the former one (PROTOCOL, "Leases": a worker forgets all its tasks and moves on to the next session; "POST /do": 409 if the session does not match); within a session a worker forgets an attempt only by reap, which carries a higher token.

--- a/internal/simulation/agent/faults.go
+++ b/internal/simulation/agent/faults.go
@@ -139,6 +139,16 @@
 	a.beginIncarnation()
 }
 
+// RestartWithoutToken is like Restart, but the agent has also lost the highest fencing token that it
+// has seen.
+func (a *Agent) RestartWithoutToken() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dropTasks(time.Now())
+	a.fencingToken = 0
+	a.beginIncarnation()
+}
+
 // beginIncarnation starts a new incarnation of the agent, with a new lease and a sequence that
 // begins again. The caller holds a.mu.
 func (a *Agent) beginIncarnation() {
--- a/internal/simulation/network/transport.go
+++ b/internal/simulation/network/transport.go
@@ -21,6 +21,7 @@
 	DropResponse              // the request is executed at once and its response is lost, so the caller times out
 	Delay                     // the request is executed and answered after a delay, or not at all if the caller times out first
 	Repeat                    // the request is delivered as with Deliver; if it was answered, it is executed again, unchanged, after a delay
+	RepeatOften               // as Repeat, but the request is executed again and again, with the delay of Repeat in between
 )
 
 // FaultPolicy selects the fault of a request. It must be safe for concurrent use.
@@ -31,6 +32,8 @@
 	defaultDelay = 5 * time.Second
 	// defaultRepeatDelay is the delay of Repeat unless SetRepeatDelay changes it.
 	defaultRepeatDelay = 2 * time.Minute
+	// repeatOftenDuration is how long RepeatOften executes a request again.
+	repeatOftenDuration = 3 * time.Minute
 	// minLatency is the minimum latency of a request without a fault.
 	minLatency = 2 * time.Millisecond
 )
@@ -94,7 +97,7 @@
 		return Deliver, 0
 	}
 	fault := policy(r)
-	if fault == Repeat {
+	if fault == Repeat || fault == RepeatOften {
 		delay = repeatDelay
 	}
 	return fault, delay.draw(t.seed, "late"+r.URL.String())
@@ -122,10 +125,16 @@
 		return t.deliverAfter(delay, r, body)
 	}
 	response, err := t.deliverAfter(t.network.requestLatency(t.seed, r.Method+r.URL.String()+string(body)), r, body)
-	if fault == Repeat && err == nil {
+	if err != nil {
+		return response, err
+	}
+	switch fault {
+	case Repeat:
 		go t.executeAfter(delay, r, body)
+	case RepeatOften:
+		go t.executeOften(delay, r, body)
 	}
-	return response, err
+	return response, nil
 }
 
 // readBody reads and closes a request's body, as the contract of http.RoundTripper demands.
@@ -153,6 +162,14 @@
 	}
 }
 
+// executeOften executes a request again and again, with a delay before each time, for
+// repeatOftenDuration or until the network's context is done.
+func (t *Transport) executeOften(delay time.Duration, r *http.Request, body []byte) {
+	for end := time.Now().Add(repeatOftenDuration); time.Now().Before(end) && t.network.ctx.Err() == nil; {
+		t.executeAfter(delay, r, body)
+	}
+}
+
 // deliverAfter executes a request after its latency and returns the response. It returns the
 // context's error if the caller gives up first.
 func (t *Transport) deliverAfter(latency time.Duration, r *http.Request, body []byte) (*http.Response, error) {
