assignment.go: classes and limits have files of their own; one filter for assignments

assignment.go held the pass, the classes of jobs and the reservation of limits. The predicate "up, not kept by the gang reserve, allowed" stood in four places (candidates of an assignment, of a move, of a zone move, and isPlaceable): assignmentFilter serves all. Two rows of TestLateArrayRuns share submitDuringOutage. Behavior is the same.

--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -9,14 +9,9 @@
 	"eiderhitch/internal/scheduling"
 )
 
-const (
-	// minArrayAssignmentInterval is the minimum time between two assignments of the same
-	// array. It makes an array's tasks share few stored groups.
-	minArrayAssignmentInterval = time.Second
-	// quotaHoldTimeout is how long an all-or-nothing job that no machine can run reserves its
-	// team's quota, in case a suitable machine is launched.
-	quotaHoldTimeout = 45 * time.Second
-)
+// minArrayAssignmentInterval is the minimum time between two assignments of the same array. It makes
+// an array's tasks share few stored groups.
+const minArrayAssignmentInterval = time.Second
 
 // assignWaitingTasks assigns waiting tasks to partitions that have room for them, the most
 // urgent jobs first. It returns the demand of the tasks that found no room.
@@ -77,30 +72,6 @@
 	placeableClasses map[assignmentClass]bool
 }
 
-// assignmentClass identifies jobs whose unassigned tasks can be placed on the same machines: if
-// there is no room for one of the jobs, there is none for the others.
-type assignmentClass struct {
-	equivalenceClass string
-	// singleZone is set for jobs whose tasks must be in one zone: zone, or any if it is "".
-	singleZone bool
-	zone       string
-	// spreadJob is the ID of a job that spreads over zones. How many of its tasks a zone may
-	// have depends on where its other tasks are.
-	spreadJob string
-}
-
-// assignmentClass returns the class of a job.
-func (a *assignmentPass) assignmentClass(j *job) assignmentClass {
-	class := assignmentClass{equivalenceClass: j.equivalenceClass, singleZone: j.spec.SingleZone}
-	if j.spec.SingleZone {
-		class.zone = a.zoneOfJob(j)
-	}
-	if j.spec.SpreadsZones {
-		class.spreadJob = j.id
-	}
-	return class
-}
-
 // assignJob assigns the tasks of one job that are not assigned yet.
 func (a *assignmentPass) assignJob(j *job) {
 	// While a more urgent job waits for the team's quota, no throttled task is allowed to run
@@ -159,14 +130,6 @@
 	}
 }
 
-// reservesQuota reports whether an all-or-nothing job that waits reserves its team's quota ahead of the
-// jobs after it. If no machine can run it, the reservation ends after quotaHoldTimeout, since a
-// suitable machine may never become available. It reserves nothing if the team's services leave it
-// too little: otherwise all other jobs of the team wait until a user cancels a service.
-func (a *assignmentPass) reservesQuota(j *job, remaining int) bool {
-	return a.fitsBesideServices(j, remaining) && (a.now.Sub(j.acceptedAt) < quotaHoldTimeout || a.isPlaceable(j))
-}
-
 // joinReplicaDemand adds a service with one replica to the demand of its equivalence class,
 // if another service of the class found no room, and reports whether it did. A loss of many
 // machines leaves many such services.
@@ -181,16 +144,6 @@
 	return true
 }
 
-// throttleForQuota throttles less urgent jobs of a job's team if the team's limit has too
-// little room for the job.
-func (a *assignmentPass) throttleForQuota(j *job, remaining int) {
-	quota := &a.teamQuotas[j.team]
-	if quota.RemainingTasks(j.taskSize, remaining) < remaining && a.limitsTeam(j, remaining) {
-		a.quotaLimitedTeams[j.team] = true
-		a.throttleTeam(j, quota.Shortfall(j.taskSize.Times(remaining)))
-	}
-}
-
 // recordDemand records the tasks of a job for which there was no room.
 func (a *assignmentPass) recordDemand(j *job, unassignedDemand planning.Demand) {
 	if unassignedDemand.Count <= 0 {
@@ -202,49 +155,3 @@
 	a.demands = append(a.demands, unassignedDemand)
 	a.exhaustedClasses[a.assignmentClass(j)] = true
 }
-
-// fitsBesideServices reports whether the team's services leave enough of its limit for one task of an
-// array, or for all remaining tasks of another job. What other jobs of the team use becomes free when
-// they complete.
-func (a *assignmentPass) fitsBesideServices(j *job, remaining int) bool {
-	needed := j.taskSize
-	if j.spec.IsAllOrNothing() {
-		needed = j.taskSize.Times(remaining)
-	}
-	return a.teamQuotas[j.team].FitsBesideServices(needed)
-}
-
-// limitsTeam reports whether jobs of lower urgency of a job's team are throttled for it when the team's
-// limit has too little room: the limit and the machines can have room for it.
-func (a *assignmentPass) limitsTeam(j *job, remaining int) bool {
-	return a.fitsBesideServices(j, remaining) && a.isPlaceable(j)
-}
-
-// isPlaceable reports the result of canPlaceTask, which it computes once for all jobs of a
-// class.
-func (a *assignmentPass) isPlaceable(j *job) bool {
-	class := a.assignmentClass(j)
-	placeable, known := a.placeableClasses[class]
-	if !known {
-		placeable = a.canPlaceTask(a.summaries, j)
-		a.placeableClasses[class] = placeable
-	}
-	return placeable
-}
-
-// canPlaceTask reports whether there is a machine on which a task of the job has room, or
-// could get it by preemption. If there is none, no quota is reserved and no task is stopped
-// for the job: other jobs of the team would take what that frees and be stopped in turn,
-// several times a second.
-func (c *leader) canPlaceTask(summaries []*planning.MachineSummary, j *job) bool {
-	zone := c.requiredZone(j)
-	mayUse := func(summary *planning.MachineSummary) bool {
-		return !summary.Booting && c.reserveAllows(j, summary) && allowsMachine(j.spec, zone, summary.Type, summary.Zone, summary.Spot)
-	}
-	for _, summary := range summaries {
-		if mayUse(summary) && summary.FreeResources.Contains(j.taskSize) {
-			return true
-		}
-	}
-	return planning.PlaceByPreemption(planning.CloneSummaries(summaries), mayUse, j.taskSize, scheduling.Claim{Priority: j.spec.Priority, Team: j.team}) != nil
-}
--- a/internal/controller/job_assignment.go
+++ b/internal/controller/job_assignment.go
@@ -127,11 +127,8 @@
 
 // planningRequest returns a request for room for count tasks in a zone.
 func (s *jobAssignment) planningRequest(zone string, count int, useReserve bool) *planning.Assignment {
-	leader, job := s.pass.leader, s.job
-	mayUse := func(summary *planning.MachineSummary) bool {
-		return !summary.Booting && (useReserve || leader.reserveAllows(job, summary)) && allowsMachine(job.spec, zone, summary.Type, summary.Zone, summary.Spot)
-	}
-	return &planning.Assignment{TaskSize: job.taskSize, Count: count, Claim: s.claim, AllowsMachine: mayUse, QuotaLimited: s.quotaLimited, Force: s.force}
+	mayUse := s.pass.assignmentFilter(s.job, zone, useReserve)
+	return &planning.Assignment{TaskSize: s.job.taskSize, Count: count, Claim: s.claim, AllowsMachine: mayUse, QuotaLimited: s.quotaLimited, Force: s.force}
 }
 
 // assignToOnePartition assigns the tasks of an all-or-nothing job to one partition, so that
--- a/internal/controller/late_work_test.go
+++ b/internal/controller/late_work_test.go
@@ -35,6 +35,17 @@
 	c.await(id+" runs", time.Minute, func() bool { return c.env.CountRunningTasks(id) == 1 })
 }
 
+// submitDuringOutage submits lateArray in an outage of the cloud's interface, which ends when the array
+// is late. A machine of the given type runs a service.
+func (c *cluster) submitDuringOutage(machineType string) {
+	c.t.Helper()
+	c.startServiceOn("wk-2", machineType)
+	c.env.Cloud.SetUnavailable(true)
+	c.submit(lateArray())
+	time.Sleep(lateAfter)
+	c.env.Cloud.SetUnavailable(false)
+}
+
 // An array that had become late never got a machine: the plan left its tasks to the capacity of the
 // machines that there were, which only ran services and kept their capacity for good (review/7).
 func TestLateArrayRuns(t *testing.T) {
@@ -44,13 +55,7 @@
 		// for it.
 		makeLate func(c *cluster)
 	}{
-		{"the cloud's interface is down", func(c *cluster) {
-			c.startServiceOn("wk-2", "large")
-			c.env.Cloud.SetUnavailable(true)
-			c.submit(lateArray())
-			time.Sleep(lateAfter)
-			c.env.Cloud.SetUnavailable(false)
-		}},
+		{"the cloud's interface is down", func(c *cluster) { c.submitDuringOutage("large") }},
 		{"the cloud has no capacity", func(c *cluster) {
 			c.startServiceOn("wk-2", "large")
 			capacity := c.env.Cloud.SetCapacity(0)
@@ -80,13 +85,7 @@
 			time.Sleep(c.env.LeaseTTL / 2) // the service keeps its machine
 			c.startAll()
 		}},
-		{"the machines are too small for its tasks", func(c *cluster) {
-			c.startServiceOn("wk-2", "small")
-			c.env.Cloud.SetUnavailable(true)
-			c.submit(lateArray())
-			time.Sleep(lateAfter)
-			c.env.Cloud.SetUnavailable(false)
-		}},
+		{"the machines are too small for its tasks", func(c *cluster) { c.submitDuringOutage("small") }},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			runCluster(t, func(c *cluster) {
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -57,10 +57,9 @@
 // moveFilter returns a filter that allows the machines of other partitions to which a group
 // may move. After a long wait these include the machines that are reserved for gangs.
 func (c *leader) moveFilter(group *taskGroup) planning.MachineFilter {
-	ignoresReserve := c.now.Sub(group.partitionAssignedAt) > reserveAvailableAfter
+	mayAssign := c.assignmentFilter(group.job, group.zone, c.now.Sub(group.partitionAssignedAt) > reserveAvailableAfter)
 	return func(summary *planning.MachineSummary) bool {
-		return !summary.Booting && summary.Partition != group.partition && (ignoresReserve || c.reserveAllows(group.job, summary)) &&
-			allowsMachine(group.job.spec, group.zone, summary.Type, summary.Zone, summary.Spot)
+		return summary.Partition != group.partition && mayAssign(summary)
 	}
 }
 
--- a/internal/controller/zone_moves.go
+++ b/internal/controller/zone_moves.go
@@ -114,9 +114,9 @@
 // roomByZone returns for how many tasks of a job there is free room in each zone. No machine
 // counts for more than limit tasks.
 func (c *leader) roomByZone(summaries []*planning.MachineSummary, j *job, limit int) map[string]int {
-	room := map[string]int{}
+	room, mayUse := map[string]int{}, c.assignmentFilter(j, "", false)
 	for _, summary := range summaries {
-		if !summary.Booting && c.reserveAllows(j, summary) && allowsMachine(j.spec, "", summary.Type, summary.Zone, summary.Spot) {
+		if mayUse(summary) {
 			room[summary.Zone] += summary.FreeResources.CountFitting(j.taskSize, limit)
 		}
 	}
