--- a/internal/controller/waiting_jobs_test.go
+++ b/internal/controller/waiting_jobs_test.go
@@ -71,13 +71,27 @@
 	})
 }
 
+// withoutHeadroom makes a node keep no machines free for future services.
+func withoutHeadroom(n *node) {
+	n.operatorConfig = config.DefaultOperatorSettings()
+	n.operatorConfig.Headroom = 0
+}
+
+// The plan of machines counts the room of a zone that may have no more tasks of a job with spread: no
+// machine is launched for its other tasks in another zone (issue 53, 1).
+func TestSpreadArrayGetsMachine(t *testing.T) {
+	runClusterWithSetup(t, withoutHeadroom, func(c *cluster) {
+		c.startServiceOn("wk-9", "large")
+		array := newSubmission(submission{ID: "wk-1", Kind: wire.KindArray, Team: "blue", Priority: "normal", Tasks: 2, CPUs: 2, EstimateS: 1800})
+		array.Spread = true
+		c.submit(array)
+		c.await("a task runs in each zone", 3*time.Minute, func() bool { return c.env.CountRunningTasks("wk-1") == 2 })
+	})
+}
+
 // The plan of machines counted the room of all zones for a service whose replicas must be in one: it
 // launched no machine although no zone had room for them. Headroom would hide this.
 func TestSingleZoneServiceGetsMachine(t *testing.T) {
-	withoutHeadroom := func(n *node) {
-		n.operatorConfig = config.DefaultOperatorSettings()
-		n.operatorConfig.Headroom = 0
-	}
 	runClusterWithSetup(t, withoutHeadroom, func(c *cluster) {
 		c.submitZonalServices(1, 1, "a")
 		c.submitZonalServices(2, 1, "b")
