Count the lease of a session from its first sign, however it was learned

Class: an action on stale knowledge, a check in one path only.

Cause: an agent begins each session with a full lease. The owner took the time of the last answered heartbeat for the beginning of the lease, also after the answer to a direct command had shown a later session. With heartbeats lost and a restart 5 s later, what was started in the new session counted as gone 5 s too early, less the margin.

workerlease.Lease now holds what is known: answers to heartbeats, and the first sign of a session in a heartbeat, a direct answer, a record or another controller's status. Expiration, with the owner's beginning and the time of its predecessor, is the only place that decides. The log line of lost tasks names the session, from when and by what its lease was counted, and the margin.

--- a/internal/controller/direct_commands_test.go
+++ b/internal/controller/direct_commands_test.go
@@ -135,7 +135,7 @@
 		if got := m.incarnation == 1 && m.commandState.unanswered == 0; got != applied {
 			t.Errorf("answer of %s: applied to host-1: %v, want %v", name, got, applied)
 		}
-		if !m.heartbeatAt.IsZero() || !m.leaseRenewedAt.IsZero() {
+		if !m.heartbeatAt.IsZero() || m.lease.HasBeenRenewed() {
 			t.Errorf("answer of %s: it counts as a heartbeat or renews the lease", name)
 		}
 	}
--- a/internal/controller/failover.go
+++ b/internal/controller/failover.go
@@ -173,7 +173,7 @@
 			if m.machineType == "" {
 				m.machineType, m.zone, m.spot = x.Type, x.Zone, x.Flags&peer.FlagSpot != 0
 			}
-			m.mergeIdentity(x.Addr, x.Incarnation)
+			m.mergeIdentity(x.Addr, x.Incarnation, c.now)
 		}
 	}
 }
--- a/internal/controller/full_fleet_test.go
+++ b/internal/controller/full_fleet_test.go
@@ -118,7 +118,8 @@
 	for i := range count {
 		m := f.getOrAddMachine(fmt.Sprintf("host-%06d", i))
 		m.machineType, m.zone, m.addr = "large", "a", "10.1.0.1:1"
-		m.incarnation, m.sequence, m.heartbeatAt, m.leaseRenewedAt, m.lastMessageAt = 1, 1, f.now, f.now, f.now
+		m.incarnation, m.sequence, m.heartbeatAt, m.lastMessageAt = 1, 1, f.now, f.now
+		m.lease.Renew(f.now)
 		f.setMachineSize(m)
 		all = append(all, m)
 		if m.partition != 0 {
--- a/internal/controller/group_records.go
+++ b/internal/controller/group_records.go
@@ -101,7 +101,7 @@
 		m.lastBoundAt = a.now
 	}
 	m.bindings.add(group.task(task.Task), group)
-	m.mergeIdentity(task.Addr, task.Incarnation)
+	m.mergeIdentity(task.Addr, task.Incarnation, a.now)
 	a.addMachineToPartition(m) // a terminated machine may have been removed from the list
 	return m
 }
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -7,6 +7,7 @@
 	"eiderhitch/internal/api"
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/wire"
+	"eiderhitch/internal/workerlease"
 )
 
 // heartbeatSource says how a heartbeat reached the controller.
@@ -21,6 +22,14 @@
 	directCommandResponse
 )
 
+// sighting returns how a heartbeat from this source shows a session.
+func (s heartbeatSource) sighting() workerlease.Sighting {
+	if s == directCommandResponse {
+		return workerlease.SeenInDirectAnswer
+	}
+	return workerlease.SeenInHeartbeat
+}
+
 // handleHeartbeat applies a worker's heartbeat and returns the response. The response carries
 // commands only if the heartbeat is newer than all earlier ones, the machine is not terminated and
 // the takeover of its partition is complete.
@@ -47,9 +56,7 @@
 	if newer {
 		sentBefore = c.now
 	}
-	if sentBefore.After(m.leaseRenewedAt) {
-		m.leaseRenewedAt = sentBefore
-	}
+	m.lease.Renew(sentBefore)
 	response := wire.HeartbeatResponse{Commands: []wire.Command{}}
 	if newer && !m.terminated && p.takeoverComplete {
 		response.Commands = append(response.Commands, c.commandsFor(m, p)...)
@@ -95,6 +102,7 @@
 	}
 	needsPass := c.affectsScheduling(m, heartbeat, p, source)
 	m.updateIdentity(heartbeat)
+	m.lease.SeeSession(heartbeat.Incarnation, c.now, source.sighting())
 	m.tasks = heartbeat.Tasks
 	m.lastMessageAt = c.now
 	switch source {
@@ -141,7 +149,7 @@
 	c.log.Info("machine begins a new incarnation", "machine", m.name, "incarnation", incarnation)
 	m.cachedImages, m.fetchStartedAt = map[string]bool{}, map[string]time.Time{}
 	m.commandState.unansweredStartToken, m.commandState.directStartToken, m.responseCarriesStart = 0, 0, false
-	m.hasMissedResponses = !m.leaseRenewedAt.IsZero()
+	m.hasMissedResponses = m.lease.HasBeenRenewed()
 }
 
 // affectsScheduling reports whether a heartbeat requires a scheduling pass. Most heartbeats
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -5,6 +5,7 @@
 
 	"eiderhitch/internal/config"
 	"eiderhitch/internal/workerclient"
+	"eiderhitch/internal/workerlease"
 )
 
 // A machine is called silent while none of its heartbeats arrive, whether or not it answers direct
@@ -107,15 +108,10 @@
 	return hasCurrentHeartbeat && !m.terminated && !m.isNotReceiving(p) && c.now.Sub(m.heartbeatAt) < c.usableTimeout()
 }
 
-// isLeaseExpired reports whether the machine's lease has certainly expired: for at least
-// leaseExpiry, neither this controller nor a former owner has sent it a response that could have
-// renewed the lease.
-func (c *clusterState) isLeaseExpired(m *machine, p *partition) bool {
-	renewed := p.machineOwnedSince(m).Add(p.formerOwnerMaxStaleness)
-	if m.leaseRenewedAt.After(renewed) {
-		renewed = m.leaseRenewedAt
-	}
-	return c.now.Sub(renewed) > c.leaseExpiry
+// leaseExpiration returns the state of the lease of an owned machine.
+func (c *clusterState) leaseExpiration(m *machine, p *partition) workerlease.Expiration {
+	ownership := workerlease.Ownership{Since: p.machineOwnedSince(m), FormerOwnerAnswers: p.formerOwnerMaxStaleness}
+	return m.lease.Expiration(c.now, ownership, c.leaseExpiry)
 }
 
 // isUnreachable reports whether the machine neither sends heartbeats nor answers direct
@@ -129,7 +125,7 @@
 		return false
 	}
 	// A machine whose lease has expired has lost its tasks in any case.
-	return !c.areMostUnreachable(p) || c.isLeaseExpired(m, p)
+	return !c.areMostUnreachable(p) || c.leaseExpiration(m, p).IsCertain()
 }
 
 // areMostUnreachable reports whether most machines of a partition seem unreachable. The count
--- a/internal/controller/liveness_test.go
+++ b/internal/controller/liveness_test.go
@@ -38,7 +38,8 @@
 	p.firstToken = p.token
 	m := c.getOrAddMachine("host-1")
 	m.incarnation, m.sequence, m.token = 1, 1, p.token
-	m.heartbeatAt, m.lastMessageAt, m.leaseRenewedAt, c.lastHeartbeatAt = c.now, c.now, c.now, c.now
+	m.heartbeatAt, m.lastMessageAt, c.lastHeartbeatAt = c.now, c.now, c.now
+	m.lease.Renew(c.now)
 	return m, p
 }
 
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -6,6 +6,7 @@
 
 	"eiderhitch/internal/scheduling"
 	"eiderhitch/internal/wire"
+	"eiderhitch/internal/workerlease"
 )
 
 // machine holds what this controller knows about one worker machine.
@@ -39,9 +40,8 @@
 	// partition; see raiseCommandToken.
 	raisedToken uint64
 	heartbeatAt time.Time
-	// leaseRenewedAt is the latest time from which a response may have renewed the machine's
-	// lease; see handleHeartbeat.
-	leaseRenewedAt        time.Time
+	// lease is what is known about the lease of the machine's agent.
+	lease                 workerlease.Lease
 	terminationAt         time.Time // announced termination by the cloud; zero without a notice
 	tasks                 []wire.TaskStatus
 	cachedImages          map[string]bool
@@ -125,12 +125,13 @@
 
 // mergeIdentity takes over an address and an agent incarnation from records or peers: the
 // address if none is known, the incarnation if it is newer.
-func (m *machine) mergeIdentity(addr string, incarnation uint64) {
+func (m *machine) mergeIdentity(addr string, incarnation uint64, now time.Time) {
 	if m.addr == "" {
 		m.addr = addr
 	}
 	if incarnation > m.incarnation {
 		m.incarnation, m.sequence = incarnation, 0
+		m.lease.SeeSession(incarnation, now, workerlease.SeenElsewhere)
 	}
 }
 
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -56,8 +56,16 @@
 // expired.
 func (c *partitionOwner) endExpiredAttempts(p *partition) {
 	for _, m := range p.machines {
-		if len(m.bindings) > 0 && (m.terminated || c.isLeaseExpired(m, p)) {
-			c.endAllAttempts(m, "its lease is over")
+		if len(m.bindings) == 0 {
+			continue
+		}
+		expiration := c.leaseExpiration(m, p)
+		switch {
+		case m.terminated:
+			c.endAllAttempts(m, "machine is terminated")
+		case expiration.IsCertain():
+			c.endAllAttempts(m, "its lease is over", "incarnation", expiration.Session, "lease_counted_from", expiration.CountedFrom,
+				"counted_by", expiration.Basis, "margin_ms", expiration.Margin.Milliseconds())
 		}
 	}
 }
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -92,8 +92,8 @@
 }
 
 // endAllAttempts ends every attempt on a machine that is terminated or whose lease has expired,
-// and releases the cells reserved there. reason is logged.
-func (c *clusterState) endAllAttempts(m *machine, reason string) {
+// and releases the cells reserved there. reason and proof, a list of attributes, are logged.
+func (c *clusterState) endAllAttempts(m *machine, reason string, proof ...any) {
 	p := c.partitions[m.partition]
 	if p.token == 0 {
 		return
@@ -105,7 +105,7 @@
 		}
 	}
 	if ended := len(c.unstoredEnds) - before; ended > 0 {
-		c.log.Info("tasks of a machine are lost", "machine", m.name, "tasks", ended, "why", reason)
+		c.log.Info("tasks of a machine are lost", append([]any{"machine", m.name, "tasks", ended, "why", reason}, proof...)...)
 	}
 	for task, reserved := range p.reservations {
 		if reserved.machine == m && !c.groups[task.Group].writeInFlight {
--- a/internal/reconcile/observations.go
+++ b/internal/reconcile/observations.go
@@ -4,6 +4,7 @@
 	"iter"
 
 	"eiderhitch/internal/wire"
+	"eiderhitch/internal/workerlease"
 )
 
 // ObservationKind classifies what is known of a bound attempt.
@@ -76,7 +77,7 @@
 		}
 		observation := Observation{Binding: binding}
 		switch {
-		case binding.Incarnation < machine.Incarnation:
+		case workerlease.IsReplaced(binding.Incarnation, machine.Incarnation):
 			observation.Kind = IncarnationReplaced
 		case machine.isStartRuledOut() && !shown.has(binding.Task) && records.MustStop(binding.Task):
 			observation.Kind = TaskAbsent
