--- a/internal/controller/fault_test.go
+++ b/internal/controller/fault_test.go
@@ -46,6 +46,16 @@
 	isolateZone              faultKind = "isolateZone"              // the machines of zone b and one controller are isolated from the rest
 	machinesNotReceiving     faultKind = "machinesNotReceiving"     // machines send heartbeats but receive neither responses nor commands
 	machinesNotSending       faultKind = "machinesNotSending"       // machines reach no controller but receive direct commands
+	heartbeatsLost           faultKind = "heartbeatsLost"           // machines can't connect to any controller
+	heartbeatsHeldUp         faultKind = "heartbeatsHeldUp"         // heartbeats of machines arrive long after the timeout
+	heartbeatsRepeated       faultKind = "heartbeatsRepeated"       // answered heartbeats of machines arrive again
+	heartbeatAnswersLost     faultKind = "heartbeatAnswersLost"     // the answers to heartbeats of machines are lost
+	heartbeatAnswersHeldUp   faultKind = "heartbeatAnswersHeldUp"   // the answers to heartbeats of machines are held up
+	commandsLost             faultKind = "commandsLost"             // direct commands to machines are lost
+	commandsHeldUp           faultKind = "commandsHeldUp"           // direct commands to machines arrive long after the timeout
+	commandsRepeated         faultKind = "commandsRepeated"         // answered direct commands to machines arrive again
+	commandAnswersLost       faultKind = "commandAnswersLost"       // the answers of machines to direct commands are lost
+	commandAnswersHeldUp     faultKind = "commandAnswersHeldUp"     // the answers of machines to direct commands are held up
 	machinesHang             faultKind = "machinesHang"             // machines hang
 	machinesIsolated         faultKind = "machinesIsolated"         // machines neither send nor receive anything
 	cloudDown                faultKind = "cloudDown"                // the cloud does not respond
--- a/internal/simulation/network/transport.go
+++ b/internal/simulation/network/transport.go
@@ -14,14 +14,15 @@
 
 // The faults. Deliver, the zero value, is the absence of a fault.
 const (
-	Deliver      Fault = iota // the request is delivered and answered with the network's latency
-	Refuse                    // the connection is refused at once
-	Drop                      // the request is lost: it is neither executed nor answered, so the caller times out
-	ExecuteLate               // the request is executed after a delay and its response is lost, so the caller times out
-	DropResponse              // the request is executed at once and its response is lost, so the caller times out
-	Delay                     // the request is executed and answered after a delay, or not at all if the caller times out first
-	Repeat                    // the request is delivered as with Deliver; if it was answered, it is executed again, unchanged, after a delay
-	RepeatOften               // as Repeat, but the request is executed again and again, with the delay of Repeat in between
+	Deliver       Fault = iota // the request is delivered and answered with the network's latency
+	Refuse                     // the connection is refused at once
+	Drop                       // the request is lost: it is neither executed nor answered, so the caller times out
+	ExecuteLate                // the request is executed after a delay and its response is lost, so the caller times out
+	DropResponse               // the request is executed at once and its response is lost, so the caller times out
+	Delay                      // the request is executed and answered after a delay, or not at all if the caller times out first
+	DelayResponse              // the request is executed at once and answered after a delay, or not at all if the caller times out first
+	Repeat                     // the request is delivered as with Deliver; if it was answered, it is executed again, unchanged, after a delay
+	RepeatOften                // as Repeat, but the request is executed again and again, with the delay of Repeat in between
 )
 
 // FaultPolicy selects the fault of a request. It must be safe for concurrent use.
@@ -123,6 +124,8 @@
 		return waitForCancellation(r)
 	case Delay:
 		return t.deliverAfter(delay, r, body)
+	case DelayResponse:
+		return t.answerAfter(delay, r, body)
 	}
 	response, err := t.deliverAfter(t.network.requestLatency(t.seed, r.Method+r.URL.String()+string(body)), r, body)
 	if err != nil {
@@ -181,6 +184,27 @@
 	return t.deliver(r.Context(), r, body)
 }
 
+// answerAfter executes a request at once, even if its caller gives up, and returns the response after
+// a delay. It returns the context's error if the caller gives up first.
+func (t *Transport) answerAfter(delay time.Duration, r *http.Request, body []byte) (*http.Response, error) {
+	response := make(chan *http.Response, 1)
+	go func() { response <- t.network.execute(t.network.ctx, r, body) }()
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+	select {
+	case resp := <-response:
+		if resp == nil {
+			return nil, ErrConnectionRefused
+		}
+		return resp, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
 // deliver executes a request and returns the response. It returns the context's error if the
 // caller gives up first, and ErrConnectionRefused if no handler serves the address.
 func (t *Transport) deliver(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
