Log the keys held, the proof for lost tasks and what starts rest on

Every 10 s each controller now logs the keys that it holds with their tokens, the revision and age of its records and for how long it may still answer heartbeats. A lost machine's line names its proof (counted_by, lease_counted_from, margin_ms), a new incarnation who showed it, and starts and stops at debug the revision and age of the read on which they rest.

--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -91,7 +91,8 @@
 		timeout = workerclient.PingTimeout
 	}
 	if len(commands) > 0 {
-		c.log.Debug("direct commands sent", "machine", m.name, "incarnation", m.incarnation, "token", request.token, "commands", commands)
+		c.log.Debug("direct commands sent", "machine", m.name, "incarnation", m.incarnation, "token", request.token,
+			"revision", c.replica.Cursor(), "read_age_ms", c.replica.ReadAge(c.now).Milliseconds(), "commands", commands)
 	}
 	addr := m.addr
 	// The deadline counts from the decision, not from the time of sending: a process that was
--- a/internal/controller/fleet_size_test.go
+++ b/internal/controller/fleet_size_test.go
@@ -84,7 +84,7 @@
 	p := c.partitions[0]
 	for _, m := range p.machines {
 		m.terminated = true
-		c.endAllAttempts(m, "test")
+		c.endAllAttempts(m, terminationProof())
 	}
 	lostCount := len(c.unstoredEnds)
 	for range 3 {
--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -22,6 +22,14 @@
 	directCommandResponse
 )
 
+// String returns the text of the source in log lines.
+func (s heartbeatSource) String() string {
+	if s == directCommandResponse {
+		return "direct answer"
+	}
+	return "heartbeat"
+}
+
 // sighting returns how a heartbeat from this source shows a session.
 func (s heartbeatSource) sighting() workerlease.Sighting {
 	if s == directCommandResponse {
@@ -63,6 +71,10 @@
 		for _, command := range response.Commands {
 			m.responseCarriesStart = m.responseCarriesStart || isStartCommand(command)
 		}
+		if len(response.Commands) > 0 {
+			c.log.Debug("commands in a heartbeat response", "machine", m.name, "incarnation", m.incarnation, "token", p.commandToken(m),
+				"revision", c.replica.Cursor(), "read_age_ms", c.replica.ReadAge(c.now).Milliseconds(), "commands", response.Commands)
+		}
 	}
 	response.FencingToken = p.commandToken(m) // the commands may have raised it
 	return api.Response{Status: http.StatusOK, Body: response}
@@ -98,7 +110,7 @@
 		return false
 	}
 	if heartbeat.Incarnation > m.incarnation && m.incarnation > 0 {
-		c.handleNewIncarnation(m, heartbeat.Incarnation)
+		c.handleNewIncarnation(m, heartbeat.Incarnation, source)
 	}
 	needsPass := c.affectsScheduling(m, heartbeat, p, source)
 	m.updateIdentity(heartbeat)
@@ -145,8 +157,8 @@
 // handleNewIncarnation handles an agent's new incarnation, which means that its lease had
 // expired: the agent has stopped and forgotten all of its tasks, and rejects commands for the
 // previous incarnation.
-func (c *partitionOwner) handleNewIncarnation(m *machine, incarnation uint64) {
-	c.log.Info("machine begins a new incarnation", "machine", m.name, "incarnation", incarnation)
+func (c *partitionOwner) handleNewIncarnation(m *machine, incarnation uint64, source heartbeatSource) {
+	c.log.Info("machine begins a new incarnation", "machine", m.name, "incarnation", incarnation, "shown_by", source)
 	m.cachedImages, m.fetchStartedAt = map[string]bool{}, map[string]time.Time{}
 	m.commandState.unansweredStartToken, m.commandState.directStartToken, m.responseCarriesStart = 0, 0, false
 	m.hasMissedResponses = m.lease.HasBeenRenewed()
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -24,6 +24,9 @@
 	countBoundTasks                            // tasks bound to a machine
 	countDoneTasks                             // tasks that completed
 	countLostTasks                             // attempts that ended without completing their task
+	countExpiredLeaseTasks                     // of these, tasks whose machine's lease expired
+	countReplacedTasks                         // of these, tasks of an earlier incarnation of their machine
+	countTerminatedTasks                       // of these, tasks whose machine was terminated
 	countPreemptedTasks                        // tasks selected for preemption
 	countAssignedGroups                        // task groups assigned by the leader
 	countMovedGroups                           // task groups moved to another partition
@@ -38,7 +41,7 @@
 var counterNames = [numCounters]string{
 	countAcceptedSubmissions: "accepted", countRefusedSubmissions: "refused", countUnavailableSubmissions: "unavailable", countPolls: "polls",
 	countHeartbeats: "reports", countRedirectedHeartbeats: "redirected", countBoundTasks: "bound", countDoneTasks: "done",
-	countLostTasks: "lost", countPreemptedTasks: "evicting", countAssignedGroups: "dealt", countMovedGroups: "moved",
+	countLostTasks: "lost", countExpiredLeaseTasks: "lost_lease", countReplacedTasks: "lost_incarnation", countTerminatedTasks: "lost_machine", countPreemptedTasks: "evicting", countAssignedGroups: "dealt", countMovedGroups: "moved",
 	countThrottledGroups: "capped", countStoredGroups: "stored", countRewrittenGroups: "rewritten", countUndecodableValues: "undecodable",
 }
 
--- a/internal/controller/mute_machine_test.go
+++ b/internal/controller/mute_machine_test.go
@@ -18,12 +18,15 @@
 	restarts     int
 }
 
+// muteRestartDelay is just below the time for which a silent machine may be given tasks.
+const muteRestartDelay = 2400 * time.Millisecond
+
 // The lease of a session that only a direct answer has shown begins with the session.
 func TestTaskRunsTwiceAfterMuteMachineRestarts(t *testing.T) {
 	t.Parallel()
 	for name, scenario := range map[string]muteMachineScenario{
-		"array":         {wire.KindArray, 2400 * time.Millisecond, 1},
-		"service":       {wire.KindService, 2400 * time.Millisecond, 1},
+		"array":         {wire.KindArray, muteRestartDelay, 1},
+		"service":       {wire.KindService, muteRestartDelay, 1},
 		"restart twice": {wire.KindArray, 2100 * time.Millisecond, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -62,10 +62,9 @@
 		expiration := c.leaseExpiration(m, p)
 		switch {
 		case m.terminated:
-			c.endAllAttempts(m, "machine is terminated")
+			c.endAllAttempts(m, terminationProof())
 		case expiration.IsCertain():
-			c.endAllAttempts(m, "its lease is over", "incarnation", expiration.Session, "lease_counted_from", expiration.CountedFrom,
-				"counted_by", expiration.Basis, "margin_ms", expiration.Margin.Milliseconds())
+			c.endAllAttempts(m, leaseProof(expiration))
 		}
 	}
 }
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -4,6 +4,7 @@
 	"eiderhitch/internal/reconcile"
 	"eiderhitch/internal/scheduling"
 	"eiderhitch/internal/wire"
+	"eiderhitch/internal/workerlease"
 )
 
 // reconcile compares a machine's newest heartbeat with the tasks that are bound to it, and
@@ -34,6 +35,9 @@
 	if observation.Status != nil && !c.hasUnstoredEnd(task, bound.boundAttempt()) {
 		c.handleTaskEnd(m, group.job, observation.Status.Reason)
 	}
+	if observation.Kind == reconcile.IncarnationReplaced && !c.hasUnstoredEnd(task, bound.boundAttempt()) {
+		c.metrics.count(countReplacedTasks, 1)
+	}
 	c.endAttempt(group, bound, attemptEnd{
 		attempt: bound.boundAttempt(),
 		done:    observation.Kind == reconcile.TaskCompleted,
@@ -91,9 +95,28 @@
 	c.requestSchedulingPass()
 }
 
+// lossProof says why all tasks of a machine have certainly ended.
+type lossProof struct {
+	counter    counter
+	attributes []any // of the log line
+}
+
+// terminationProof is the proof for a machine that the cloud has terminated.
+func terminationProof() lossProof {
+	return lossProof{countTerminatedTasks, []any{"why", "machine is terminated"}}
+}
+
+// leaseProof returns the proof for a machine whose lease has expired.
+func leaseProof(expiration workerlease.Expiration) lossProof {
+	return lossProof{countExpiredLeaseTasks, []any{
+		"why", "its lease is over", "incarnation", expiration.Session, "lease_counted_from", expiration.CountedFrom,
+		"counted_by", expiration.Basis, "margin_ms", expiration.Margin.Milliseconds(),
+	}}
+}
+
 // endAllAttempts ends every attempt on a machine that is terminated or whose lease has expired,
-// and releases the cells reserved there. reason and proof, a list of attributes, are logged.
-func (c *clusterState) endAllAttempts(m *machine, reason string, proof ...any) {
+// and releases the cells reserved there. proof says why they have ended.
+func (c *clusterState) endAllAttempts(m *machine, proof lossProof) {
 	p := c.partitions[m.partition]
 	if p.token == 0 {
 		return
@@ -105,7 +128,8 @@
 		}
 	}
 	if ended := len(c.unstoredEnds) - before; ended > 0 {
-		c.log.Info("tasks of a machine are lost", append([]any{"machine", m.name, "tasks", ended, "why", reason}, proof...)...)
+		c.metrics.count(proof.counter, ended)
+		c.log.Info("tasks of a machine are lost", append([]any{"machine", m.name, "tasks", ended}, proof.attributes...)...)
 	}
 	for task, reserved := range p.reservations {
 		if reserved.machine == m && !c.groups[task.Group].writeInFlight {
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -221,7 +221,7 @@
 		a.terminatedMachines[name] = true
 		if m := a.machines[name]; m != nil {
 			m.terminated = true
-			a.endAllAttempts(m, "machine is terminated")
+			a.endAllAttempts(m, terminationProof())
 		}
 	}
 	a.requestSchedulingPass()
--- a/internal/controller/timers.go
+++ b/internal/controller/timers.go
@@ -13,6 +13,9 @@
 	statusInterval = 500 * time.Millisecond
 	// metricsInterval is the interval at which the counters are logged.
 	metricsInterval = 30 * time.Second
+	// ownershipLogInterval is the interval at which the leased keys that this controller holds
+	// are logged.
+	ownershipLogInterval = 10 * time.Second
 	// usageLogInterval is the interval at which the leader logs the use of the machines.
 	usageLogInterval = 10 * time.Second
 	// pauseThreshold is the time between two ticks above which this process is considered to
@@ -42,7 +45,7 @@
 
 // timerDeadlines holds the times at which the event loop's timers are next due. A zero time is
 // due at once.
-type timerDeadlines struct{ status, metrics, planning, pass time.Time }
+type timerDeadlines struct{ status, metrics, ownership, planning, pass time.Time }
 
 // onTick updates the controller's view of its own health and runs the timers that are due.
 // Before all records have been read, it does only the former.
@@ -61,6 +64,7 @@
 	c.runSchedulingPassIfDue(due)
 	c.runPlanningIfDue(due)
 	c.updateStatusIfDue(due)
+	c.logOwnershipIfDue(due)
 	c.logMetricsIfDue(due)
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,6 +62,9 @@
 // exist.
 func (r *Replica) Revision(key string) uint64 { return r.revisions[key] }
 
+// ReadAge returns the time since the last successful read began.
+func (r *Replica) ReadAge(now time.Time) time.Duration { return now.Sub(r.lastReadStartedAt) }
+
 // IsFreshWithin reports whether the last successful read began less than limit before now.
 // A replica that is not loaded is never fresh.
 func (r *Replica) IsFreshWithin(limit time.Duration, now time.Time) bool {
