Avoid machines that may reach no controller while others have room

Cause: up to twice the heartbeat interval, a silent machine ranks like any other, and after a restart it is empty. Machines whose heartbeat is overdue, or whose incarnation only a direct answer has shown, now rank behind all others; they are still used before anything waits or is preempted.

--- a/internal/controller/heartbeat.go
+++ b/internal/controller/heartbeat.go
@@ -175,7 +175,7 @@
 // recordWorkerRequest records that the machine sent a heartbeat on its own.
 func (c *partitionOwner) recordWorkerRequest(m *machine, p *partition) {
 	first := m.heartbeatAt.Before(p.ownedSince)
-	m.heartbeatAt = c.now
+	m.heartbeatAt, m.heartbeatIncarnation = c.now, m.incarnation
 	m.responseCarriesStart = false
 	c.setMachineSize(m)
 	if first {
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -108,6 +108,12 @@
 	return hasCurrentHeartbeat && !m.terminated && !m.isNotReceiving(p) && c.now.Sub(m.heartbeatAt) < c.usableTimeout()
 }
 
+// seemsSilent reports whether the machine's next heartbeat is overdue, or only the answer to a direct
+// command has shown its incarnation.
+func (c *clusterState) seemsSilent(m *machine) bool {
+	return m.heartbeatIncarnation != m.incarnation || c.now.Sub(m.heartbeatAt) > c.heartbeatTimeout()
+}
+
 // leaseExpiration returns the state of the lease of an owned machine.
 func (c *clusterState) leaseExpiration(m *machine, p *partition) workerlease.Expiration {
 	ownership := workerlease.Ownership{Since: p.machineOwnedSince(m), FormerOwnerAnswers: p.formerOwnerMaxStaleness}
--- a/internal/controller/loss_log_test.go
+++ b/internal/controller/loss_log_test.go
@@ -12,6 +12,7 @@
 	runCluster(t, func(c *cluster) {
 		c.alwaysKeepLogs = true
 		c.restartAll()
+		c.env.Cloud.SetCapacity(1)
 		c.submit(newSubmission(submission{ID: "wk-1", Kind: wire.KindService, Team: "blue", Priority: "normal", Tasks: 1, CPUs: 4}))
 		c.await("the service runs", time.Minute, func() bool { return c.env.CountRunningTasks("wk-1") == 1 })
 		time.Sleep(c.nodes[0].maxStaleness()) // a former owner may answer heartbeats until then
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -40,6 +40,8 @@
 	// partition; see raiseCommandToken.
 	raisedToken uint64
 	heartbeatAt time.Time
+	// heartbeatIncarnation is the incarnation in the last heartbeat that the machine sent on its own.
+	heartbeatIncarnation uint64
 	// lease is what is known about the lease of the machine's agent.
 	lease                 workerlease.Lease
 	terminationAt         time.Time // announced termination by the cloud; zero without a notice
@@ -65,11 +67,12 @@
 	hasMissedResponses bool
 	commandState       directCommandState
 
-	// isSchedulable and runsServiceOrGang cache the results of partitionOwner.isSchedulable and
-	// clusterState.runsServiceOrGang. schedulablePass and runsServiceOrGangPass are the numbers
+	// isSchedulable, seemsSilent and runsServiceOrGang cache the results of
+	// partitionOwner.isSchedulable, clusterState.seemsSilent and clusterState.runsServiceOrGang.
+	// schedulablePass, which is that of the first two, and runsServiceOrGangPass are the numbers
 	// of the scheduling passes in which they were computed.
-	isSchedulable, runsServiceOrGang       bool
-	schedulablePass, runsServiceOrGangPass uint64
+	isSchedulable, seemsSilent, runsServiceOrGang bool
+	schedulablePass, runsServiceOrGangPass        uint64
 }
 
 // directCommandState tracks the direct commands sent to one machine.
--- a/internal/controller/mute_machine_test.go
+++ b/internal/controller/mute_machine_test.go
@@ -56,9 +56,8 @@
 	c.await("the job runs elsewhere", time.Minute, func() bool { return c.env.CountRunningTasks("wk-1") == 1 })
 }
 
-// muteAndRestart loses a machine's heartbeats from its next one on and restarts it, once or again
-// within a second.
-func (c *cluster) muteAndRestart(machine *agent.Agent, scenario muteMachineScenario) {
+// mute loses a machine's heartbeats from the second one from now on.
+func (c *cluster) mute(machine *agent.Agent) {
 	sent := make(chan struct{}, 1)
 	machine.SetHeartbeatHook(func([]byte) {
 		select {
@@ -70,6 +69,11 @@
 	machine.SetHeartbeatHook(nil)
 	time.Sleep(50 * time.Millisecond) // the heartbeat is answered
 	machine.SetOutboundBlocked(true)
+}
+
+// muteAndRestart makes a machine mute and restarts it, once or again within a second.
+func (c *cluster) muteAndRestart(machine *agent.Agent, scenario muteMachineScenario) {
+	c.mute(machine)
 	time.Sleep(scenario.restartDelay)
 	for range scenario.restarts {
 		machine.Restart()
--- a/internal/controller/scoring.go
+++ b/internal/controller/scoring.go
@@ -21,6 +21,9 @@
 	// serviceOrGangScore prefers machines that run a service or gang, since these are needed anyway
 	// until it ends.
 	serviceOrGangScore = -150
+	// silentScore avoids machines that may reach no controller, as long as others have room: a task
+	// there is lost with the machine's lease. It exceeds all other scores together.
+	silentScore = 5000
 	// Each free CPU adds 1 to the score: dense packing leaves whole machines empty, which can
 	// then be terminated. Free CPUs beyond maxScoredMilliCPUs add nothing.
 	maxScoredMilliCPUs     = 100_000
@@ -57,6 +60,9 @@
 		if c.runsServiceOrGang(m) {
 			score += serviceOrGangScore
 		}
+		if m.seemsSilent {
+			score += silentScore
+		}
 		return score + float64(min(free.CPU, maxScoredMilliCPUs))/milliCPUsPerScorePoint
 	}
 }
@@ -105,6 +111,7 @@
 func (c *partitionOwner) isSchedulable(m *machine, p *partition) bool {
 	if m.schedulablePass != c.schedulingPass {
 		m.schedulablePass = c.schedulingPass
+		m.seemsSilent = c.seemsSilent(m)
 		m.isSchedulable = c.isUsable(m, p) && m.terminationAt.IsZero() && !m.cordoned && !c.now.Before(m.placementBackoffUntil) &&
 			!c.autoscaler.IsTerminating(m.name) && !c.isReservedByLeader(m, p)
 	}
--- a/internal/controller/scoring_test.go
+++ b/internal/controller/scoring_test.go
@@ -77,3 +77,35 @@
 		t.Errorf("score %v of the same machine as an on-demand machine, want at least %v", ordinary, -spot)
 	}
 }
+
+// A machine that may reach no controller is chosen only if no other one has room, however well it
+// suits otherwise.
+func TestSilentMachineIsAvoided(t *testing.T) {
+	for name, silence := range map[string]func(c *controller, m *machine){
+		"its heartbeat is overdue": func(c *controller, m *machine) {
+			c.now = c.now.Add(c.heartbeatTimeout() + time.Millisecond)
+		},
+		"only a direct answer has shown its incarnation": func(c *controller, m *machine) {
+			answer := &wire.Heartbeat{Machine: m.name, Type: "small", Zone: "a", Spot: true, Incarnation: 2, Sequence: 1, FencingToken: 1}
+			c.applyHeartbeat(m, answer, c.partitions[0], directCommandResponse)
+		},
+	} {
+		c := newTestController(t)
+		c.replica.Put(jobKey("wk-1"), marshalJSON(t, record.Job{AcceptedAtMS: c.now.UnixMilli(), Spec: &wire.Job{ID: "wk-1", TaskCount: 1, CPUs: 1, Team: "t", AllowsSpot: true}}), 2)
+		c.replica.Put(groupKey("wk-1", 0), marshalJSON(t, record.TaskGroup{Tasks: []record.Binding{{Task: 0}}}), 3)
+		preferred, other := c.getOrAddMachine("host-1"), c.getOrAddMachine("host-2")
+		report := func(m *machine, spot bool) {
+			heartbeat := &wire.Heartbeat{Machine: m.name, Type: "small", Zone: "a", Spot: spot, Incarnation: 1, Sequence: m.sequence + 1, FencingToken: 1}
+			c.applyHeartbeat(m, heartbeat, c.partitions[0], workerRequest)
+		}
+		report(preferred, true)
+		silence(c, preferred)
+		report(other, false)
+		c.schedulingPass++
+		score := c.scorer(c.partitions[0], c.groupByKey[groupKey("wk-1", 0)])
+		few, many := scheduling.NewResources(1, 0, 0), scheduling.NewResources(200, 0, 0)
+		if silent, reachable := score(preferred.index, few), score(other.index, many); silent <= reachable || reachable < 0 {
+			t.Errorf("%s: score %v, want above that of the other machine, %v", name, silent, reachable)
+		}
+	}
+}
