--- a/internal/controller/scoring_test.go
+++ b/internal/controller/scoring_test.go
@@ -82,7 +82,7 @@
 // suits otherwise.
 func TestSilentMachineIsAvoided(t *testing.T) {
 	for name, silence := range map[string]func(c *controller, m *machine){
-		"its heartbeat is overdue": func(c *controller, m *machine) {
+		"its heartbeat is overdue": func(c *controller, _ *machine) {
 			c.now = c.now.Add(c.heartbeatTimeout() + time.Millisecond)
 		},
 		"only a direct answer has shown its incarnation": func(c *controller, m *machine) {
