Match names of fields in case, and accept any white space before a submission

A body with more than 63 bytes of white space before its brace was refused.

Cause: both JSON decoders match the names of struct fields without regard to case when there is no exact match, or the inexact one comes later. JSON names are case-sensitive, and unknown fields are ignored (PROTOCOL). Decode uses the exact match of its library, and serves the answers of cloud and store, rollout records and errors too; a submission is reduced to its known fields before it is decoded. The error texts stay.

--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -86,7 +85,7 @@
 		err = responseError(response)
 	}
 	if err == nil && out != nil {
-		err = json.Unmarshal(response.Body, out)
+		err = wire.Decode(response.Body, out)
 	}
 	if err != nil {
 		return fmt.Errorf("cloud: %s %s: %w", r.method, r.path, err)
@@ -103,7 +102,7 @@
 		var body struct {
 			Error string `json:"error"`
 		}
-		if json.Unmarshal(response.Body, &body) == nil && body.Error == noCapacityText {
+		if wire.Decode(response.Body, &body) == nil && body.Error == noCapacityText {
 			return ErrNoCapacity
 		}
 		return ErrRefused
--- a/internal/rollout/registration.go
+++ b/internal/rollout/registration.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"eiderhitch/internal/wire"
 )
 
 // RegistrationPrefix is the prefix of the keys at which controllers register.
@@ -30,7 +32,7 @@
 // DecodeRegistration decodes and validates a registration that Encode encoded.
 func DecodeRegistration(raw []byte) (Registration, error) {
 	var c Registration
-	if err := json.Unmarshal(raw, &c); err != nil {
+	if err := wire.Decode(raw, &c); err != nil {
 		return Registration{}, fmt.Errorf("decode registration: %w", err)
 	}
 	if c.Low < BaseLevel || c.High < c.Low {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+
+	"eiderhitch/internal/wire"
 )
 
 // StateKey is the key of the stored state. Versions without feature levels read the value as the
@@ -95,7 +97,7 @@
 // a later version or by hand.
 func DecodeState(raw []byte) (State, error) {
 	var s State
-	if err := json.Unmarshal(raw, &s); err != nil {
+	if err := wire.Decode(raw, &s); err != nil {
 		return State{}, fmt.Errorf("decode feature level state: %w", err)
 	}
 	return s, s.validate()
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -109,7 +108,7 @@
 	var answer struct {
 		Error string `json:"error"`
 	}
-	if json.Unmarshal(body, &answer) == nil && answer.Error == noSuchLeaseMessage {
+	if wire.Decode(body, &answer) == nil && answer.Error == noSuchLeaseMessage {
 		return ErrLeaseExpired
 	}
 	return ErrInvalid
--- a/internal/wire/parse_job.go
+++ b/internal/wire/parse_job.go
@@ -1,11 +1,11 @@
 package wire
 
 import (
-	"encoding/json"
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
-	"strings"
+	"reflect"
 )
 
 const (
@@ -15,9 +15,6 @@
 	maxNameBytes = 200
 	// maxMachineTypes is the maximum number of machine types that a job may list.
 	maxMachineTypes = 32
-	// maxLeadingSpaceBytes is the maximum number of white space bytes before the opening brace of
-	// a request's body.
-	maxLeadingSpaceBytes = 63
 )
 
 // bodyField is the Field of a FieldError that concerns the whole message.
@@ -71,6 +68,9 @@
 	DeadlineS           *float64 `json:"dueS"`
 }
 
+// jobFieldNames holds the names of the fields of a submission.
+var jobFieldNames = fieldNames(reflect.TypeFor[jobBody]())
+
 // ParseJob decodes and validates a submission. Every error is a *FieldError for the first invalid
 // field, and the response to it has status 400.
 func ParseJob(body []byte) (*Job, error) {
@@ -91,12 +91,11 @@
 
 // decodeJobBody decodes a submission without validating its values.
 func decodeJobBody(body []byte) (*jobBody, error) {
-	start := string(body[:min(len(body), maxLeadingSpaceBytes+1)])
-	if !strings.HasPrefix(strings.TrimLeft(start, " \t\r\n"), "{") {
+	if !bytes.HasPrefix(bytes.TrimLeft(body, " \t\r\n"), []byte("{")) {
 		return nil, fieldErrorf(bodyField, "not a JSON object")
 	}
 	b := &jobBody{}
-	if err := json.Unmarshal(body, b); err != nil {
+	if err := decodeKnownFields(body, jobFieldNames, b); err != nil {
 		return nil, &FieldError{Field: bodyField, Err: err}
 	}
 	return b, nil
