Refuse heartbeats that are nested so deeply that decoding ends the process

What callers saw: a single malformed report ends a controller, whoever sends it: the decoder of heartbeats descends by recursion into unknown fields too, and a report may have 4 MiB. Two million opening brackets exceed the runtime's stack limit, a fatal error that nothing recovers; one million need half a gigabyte, more than the memory of any site.

ParseHeartbeat refuses more than 1,000 levels (400). It looks at the bytes only if there are more brackets than that. Submissions are not concerned: 64 KiB, and the standard decoder has a limit.

Evidence: TestNestedHeartbeatEndsProcess ended the test process before ("goroutine stack exceeds-byte limit", at 2,000,000 and 4,000,000 brackets; 1,000,000 took 0.7 s).

--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	standardjson "encoding/json"
 	"errors"
 	"maps"
@@ -26,6 +27,35 @@
 	return err
 }
 
+// nestsDeeper reports whether arrays and objects in a JSON document are nested more deeply than
+// limit. Decode needs stack in proportion to the depth, and a stack that overflows ends the process.
+func nestsDeeper(document []byte, limit int) bool {
+	if bytes.Count(document, []byte("["))+bytes.Count(document, []byte("{")) <= limit {
+		return false
+	}
+	depth, inString := 0, false
+	for i := 0; i < len(document); i++ {
+		switch document[i] {
+		case '"':
+			inString = !inString
+		case '\\':
+			i++ // the next byte ends no string
+		case '[', '{':
+			if !inString {
+				depth++
+			}
+		case ']', '}':
+			if !inString {
+				depth--
+			}
+		}
+		if depth > limit {
+			return true
+		}
+	}
+	return false
+}
+
 // fieldNames returns the names of a struct's fields in JSON, by their tags.
 func fieldNames(structType reflect.Type) map[string]bool {
 	names := map[string]bool{}
--- a/internal/wire/decode_test.go
+++ b/internal/wire/decode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -51,3 +52,76 @@
 		t.Error("the standard decoder rejected none of the damaged documents")
 	}
 }
+
+// A heartbeat of four million opening brackets overflowed the decoder's stack, which ends the process.
+func TestNestedHeartbeatEndsProcess(t *testing.T) {
+	const opening = 4_000_000
+	for _, document := range []string{
+		`{"perch":"host-1","watch":1,"x":` + strings.Repeat("[", opening),
+		`{"perch":"host-1","watch":1,"x":` + strings.Repeat("[", opening/2) + strings.Repeat("]", opening/2) + "}",
+		`{"perch":"host-1","watch":1,"x":` + strings.Repeat(`{"a":`, opening/5),
+		`{"perch":"host-1","watch":1,"x":"\"` + strings.Repeat(`\\`, 9) + `",` + strings.Repeat(`"b":[`, opening/5),
+	} {
+		if _, err := ParseHeartbeat([]byte(document)); err == nil {
+			t.Errorf("%.60s...: accepted, want an error", document)
+		}
+	}
+}
+
+func TestNestingInUnknownFieldsIsIgnored(t *testing.T) {
+	brackets := strings.Repeat("[", 2*maxHeartbeatNesting)
+	for _, unknown := range []string{
+		strings.Repeat("[", maxHeartbeatNesting/2) + strings.Repeat("]", maxHeartbeatNesting/2),
+		`"` + brackets + `"`,
+		`"\\\"` + brackets + `"`,
+		"[" + strings.Repeat("[],{},", 2*maxHeartbeatNesting) + "0]",
+	} {
+		if _, err := ParseHeartbeat([]byte(`{"perch":"host-1","watch":1,"x":` + unknown + "}")); err != nil {
+			t.Errorf("%.60s...: %v, want no error", unknown, err)
+		}
+	}
+}
+
+func FuzzParseHeartbeat(f *testing.F) {
+	for _, seed := range []string{
+		`{"perch":"host-1","addr":"10.1.0.1:9","hull":"g8","watch":1,"tally":2,"baton":3,"warningS":null,"eggs":[{"egg":"wk-1/0","launch":1,"tide":"running"}]}`,
+		`{"perch":"host-1","watch":18446744073709551615,"tally":-1}`, `{"perch":"\ud800","watch":1e0}`, `[]`, `{"Watch":1}`, `{"perch":1}`, "\x00", `{"perch":"a","watch":1}{}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		heartbeat, err := ParseHeartbeat(body)
+		if err == nil && (heartbeat.Machine == "" || heartbeat.Incarnation == 0) {
+			t.Error("accepted without a machine or an incarnation")
+		}
+		if err == nil && !json.Valid(body) {
+			t.Error("accepted although it is not JSON")
+		}
+	})
+}
+
+func FuzzParseJob(f *testing.F) {
+	for _, seed := range []string{exampleSubmission, `{}`, `null`, ` []`, `{"nameId":"wk-000412","NameId":"wk-2"}`, `{"eggs":1e400}`, `{"hulls":[null]}`, "\ufeff{}", `{"cpus":NaN}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		job, err := ParseJob(body)
+		if err != nil {
+			return
+		}
+		if !json.Valid(body) || !IsValidJobID(job.ID) || job.TaskCount < 1 {
+			t.Errorf("accepted as %+v", job)
+		}
+		raw, err := json.Marshal(job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var stored Job
+		if err := Decode(raw, &stored); err != nil {
+			t.Fatalf("the stored form can't be decoded: %v", err)
+		}
+		if d := cmp.Diff(*job, stored); d != "" {
+			t.Errorf("the stored form differs (-accepted +stored):\n%s", d)
+		}
+	})
+}
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -30,9 +30,19 @@
 	Tasks              []TaskStatus `json:"eggs"`     // includes exited tasks until OpForget
 }
 
+// maxHeartbeatNesting is the maximum depth of arrays and objects in a heartbeat, unknown fields
+// included.
+const maxHeartbeatNesting = 1000
+
+// errNestedTooDeeply reports that a heartbeat exceeds maxHeartbeatNesting.
+var errNestedTooDeeply = errors.New("report: nested too deeply")
+
 // ParseHeartbeat decodes and validates a heartbeat. The response to a heartbeat that causes an error
 // has status 400.
 func ParseHeartbeat(body []byte) (*Heartbeat, error) {
+	if nestsDeeper(body, maxHeartbeatNesting) {
+		return nil, errNestedTooDeeply
+	}
 	heartbeat := &Heartbeat{}
 	if err := Decode(body, heartbeat); err != nil {
 		return nil, fmt.Errorf("report: %w", err)
