Requests that never complete no longer keep out those that do

Cause: all connections shared one limit, at which the listener stopped accepting, and a request held its user slot while its body was read. A half-sent head kept a connection for 5 s, a body for 10 s.

At most half of the connections may now have an incomplete request. A new connection takes the place of the one whose request has been incomplete the longest, for at least 250 ms; connections that wait for their next request, as workers' do, or whose request was read, stay. Bodies are read before a request takes a slot, a whole request within 5 s, as long as its sender waits. Bodies above the protocol's 64 KiB are held four at a time, since 4 MiB on each connection exceed any site's memory.

--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -24,6 +23,8 @@
 	// maxHeartbeatBytes limits the body of a worker's heartbeat. It suffices because a
 	// machine runs few tasks.
 	maxHeartbeatBytes = 4 << 20
+	// heartbeatPath is the path of workers' heartbeats.
+	heartbeatPath = "/v1/report"
 	// overloadRetryAfterS is the Retry-After value, in seconds, of a request that is refused
 	// because too many requests are in progress.
 	overloadRetryAfterS = 1
@@ -48,8 +49,8 @@
 	router.GET("/v1/jobs/:id", h.limitUserRequest(pollTimeout, h.poll))
 	router.POST("/v1/jobs/:id/abort", h.limitUserRequest(changeTimeout, h.cancel))
 	router.GET("/ready", h.ready)
-	router.POST("/v1/report", h.heartbeat)
-	return router
+	router.POST(heartbeatPath, h.heartbeat)
+	return newBodyReader(router)
 }
 
 // userHandler returns the response to a user's request.
@@ -74,9 +75,9 @@
 }
 
 func (h *handler) submit(ctx context.Context, r *http.Request, _ httprouter.Params) Response {
-	body, err := readBody(r, wire.MaxBodyBytes)
-	if err != nil {
-		return badRequest(err)
+	body, refusal, ok := bodyOf(r, wire.MaxBodyBytes)
+	if !ok {
+		return refusal
 	}
 	job, err := wire.ParseJob(body)
 	if err != nil {
@@ -108,9 +109,9 @@
 }
 
 func (h *handler) heartbeatResponse(ctx context.Context, r *http.Request) Response {
-	body, err := readBody(r, maxHeartbeatBytes)
-	if err != nil {
-		return badRequest(err)
+	body, refusal, ok := bodyOf(r, maxHeartbeatBytes)
+	if !ok {
+		return refusal
 	}
 	heartbeat, err := wire.ParseHeartbeat(body)
 	if err != nil {
@@ -118,16 +119,3 @@
 	}
 	return h.service.Heartbeat(ctx, heartbeat)
 }
-
-// readBody reads the body of a request. It returns errBodyTooLarge for a body of more than
-// limit bytes.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, nil
-}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"eiderhitch/internal/wire"
 )
 
@@ -33,8 +31,8 @@
 
 // Limits limits the concurrency of the interface.
 type Limits struct {
-	// MaxConnections is the number of connections that may be open at a time; further ones
-	// wait to be accepted.
+	// MaxConnections is the number of connections that may be open at a time. Further ones take
+	// the place of those whose request has been incomplete for the longest time, or wait.
 	MaxConnections int
 	// MaxUserRequests is the number of user requests that are served at a time; further
 	// ones are refused with status 503.
@@ -43,29 +41,31 @@
 
 // Timeouts and limits of connections.
 const (
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 10 * time.Second
-	writeTimeout      = 10 * time.Second
-	idleTimeout       = 75 * time.Second
-	maxHeaderBytes    = 16 << 10
+	// readTimeout limits the time to read a whole request. Its sender gives up as early.
+	readTimeout    = 5 * time.Second
+	writeTimeout   = 10 * time.Second
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 16 << 10
 )
 
 // Serve serves the requests on the listener until ctx ends; requests in progress are then
 // aborted. It returns nil after ctx has ended.
 func Serve(ctx context.Context, listener net.Listener, service Service, log *slog.Logger, limits Limits) error {
+	connections := newConnectionTable(limits.MaxConnections)
 	server := &http.Server{
-		Handler:           NewHandler(service, limits),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		BaseContext:       func(net.Listener) context.Context { return ctx },
+		Handler:        NewHandler(service, limits),
+		ReadTimeout:    readTimeout,
+		WriteTimeout:   writeTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		BaseContext:    func(net.Listener) context.Context { return ctx },
+		ConnContext:    withConnection,
+		ConnState:      connections.onStateChange,
 	}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
-	err := server.Serve(netutil.LimitListener(listener, limits.MaxConnections))
+	err := server.Serve(&limitedListener{Listener: listener, table: connections})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
