--- a/internal/controller/late_copies_test.go
+++ b/internal/controller/late_copies_test.go
@@ -10,6 +10,7 @@
 
 	"eiderhitch/internal/simulation/agent"
 	"eiderhitch/internal/simulation/network"
+	"eiderhitch/internal/simulation/trace"
 	"eiderhitch/internal/wire"
 )
 
@@ -60,6 +61,13 @@
 
 // restartOwnerOf restarts the controller that owns a machine.
 func (c *cluster) restartOwnerOf(machine *agent.Agent) {
+	if owner := c.ownerOf(machine); owner >= 0 {
+		c.restartNode(owner)
+	}
+}
+
+// ownerOf returns the index of the controller that owns a machine, or -1 if none does.
+func (c *cluster) ownerOf(machine *agent.Agent) int {
 	for i, n := range c.nodes {
 		owns := false
 		n.controller().call(c.ctx, priorityStore, func() {
@@ -67,10 +75,10 @@
 			owns = n.controller().partitions[m.partition].token != 0
 		})
 		if owns {
-			c.restartNode(i)
-			return
+			return i
 		}
 	}
+	return -1
 }
 
 // taskChange is what happens to the tasks of job wk-1 on a machine.
@@ -152,18 +160,30 @@
 
 // carriesStart reports whether a direct request has a start command.
 func (c *cluster) carriesStart(r *http.Request) bool {
+	return slices.ContainsFunc(c.directCommandsIn(r), isStartCommand)
+}
+
+// carriesStartOf reports whether a direct request has a start command of a job.
+func (c *cluster) carriesStartOf(r *http.Request, job string) bool {
+	return slices.ContainsFunc(c.directCommandsIn(r), func(command wire.Command) bool {
+		return isStartCommand(command) && trace.JobID(command.Task) == job
+	})
+}
+
+// directCommandsIn returns the commands of a direct request.
+func (c *cluster) directCommandsIn(r *http.Request) []wire.Command {
 	if r.GetBody == nil {
-		return false
+		return nil
 	}
 	body, err := r.GetBody()
 	if err != nil {
 		c.t.Error(err)
-		return false
+		return nil
 	}
 	defer body.Close()
 	var request wire.CommandRequest
 	if err := json.NewDecoder(body).Decode(&request); err != nil {
 		c.t.Error(err)
 	}
-	return slices.ContainsFunc(request.Commands, isStartCommand)
+	return request.Commands
 }
