--- a/internal/simulation/agent/faults.go
+++ b/internal/simulation/agent/faults.go
@@ -34,6 +34,14 @@
 	change(&a.faults)
 }
 
+// IsReachable reports whether the machine's heartbeats and the responses to them arrive.
+func (a *Agent) IsReachable() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f := &a.faults
+	return a.booted && !a.terminated && !f.isolated && !f.inboundBlocked && !f.outboundBlocked && !f.isHanging()
+}
+
 // SetIsolated cuts the machine off from the network or reconnects it.
 func (a *Agent) SetIsolated(isolated bool) {
 	a.updateFaults(func(f *faults) { f.isolated = isolated })
