Limit the commands in one message to the protocol's line of 64 KiB

What callers saw: nothing yet. A heartbeat with many tasks that no record binds was answered with a stop for each, 2.5 MB in one line for 40,000 tasks; the protocol allows 64 KiB for a line, and for the body of a direct request. About 1,100 tasks on one machine would be enough.

commandsFor returns the first commands that fit, and the next message has the rest. They are cut before directCommands looks for a start that belongs to a forget command, so that no direct request has the one without the other.

Evidence: TestHugeHeartbeatBlocksController failed on the response's size; the event loop took 0.2 s for that heartbeat.

--- a/internal/controller/commands.go
+++ b/internal/controller/commands.go
@@ -8,6 +8,32 @@
 	"eiderhitch/internal/wire"
 )
 
+const (
+	// maxCommandsBytes is the maximum size of the commands in one message. The protocol allows
+	// 64 KiB for a line of a response and for the body of a request.
+	maxCommandsBytes = 60 << 10
+	// commandOverheadBytes is the maximum size of an encoded command without the task's name.
+	commandOverheadBytes = 100
+)
+
+// commandsInOneMessage returns the first commands that fit into one message. The others follow with
+// the next one. A command whose task has a name that fits into none is left out.
+func commandsInOneMessage(commands []wire.Command) []wire.Command {
+	size := 0
+	for i := 0; i < len(commands); i++ {
+		commandSize := len(commands[i].Task) + commandOverheadBytes
+		if commandSize > maxCommandsBytes {
+			commands = slices.Delete(commands, i, i+1)
+			i--
+			continue
+		}
+		if size += commandSize; size > maxCommandsBytes {
+			return commands[:i]
+		}
+	}
+	return commands
+}
+
 // commandsFor returns the commands that bring a machine in line with the records, as far as its
 // newest heartbeat shows. They must be sent under the token that partition.commandToken returns
 // afterwards: a forget command raises it above the token of every start command that a direct
@@ -24,6 +50,7 @@
 			commands = append(commands, command)
 		}
 	}
+	commands = commandsInOneMessage(commands)
 	if slices.ContainsFunc(commands, isForgetCommand) {
 		c.raiseCommandToken(m, p, m.commandState.directStartToken)
 	}
