--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -45,8 +45,7 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapInuse + m.StackInuse
 	}
-	body := `{"perch":"host-000231","addr":"10.1.0.232:9000","hull":"g8","shore":"a","driftwood":true,"watch":1,"tally":88,"baton":41,"warningS":null,"eggs":[]}`
-	request := fmt.Sprintf("POST /v1/report HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", heartbeatPath, len(testHeartbeat), testHeartbeat)
 	before := memoryInUse()
 	for range connectionCount {
 		connection, err := net.Dial("tcp", listener.Addr().String())
--- a/internal/api/incomplete_requests_test.go
+++ b/internal/api/incomplete_requests_test.go
@@ -77,7 +77,7 @@
 	return response.StatusCode == status
 }
 
-const testHeartbeat = `{"perch":"host-000231","addr":"10.1.0.232:9000","hull":"g8","shore":"a","driftwood":true,"watch":1,"tally":88,"baton":41,"eggs":[]}`
+const testHeartbeat = `{"perch":"host-000231","addr":"10.1.0.232:9000","hull":"g8","shore":"a","driftwood":true,"watch":1,"tally":88,"baton":41,"warningS":null,"eggs":[]}`
 
 func TestIncompleteRequestsKeepOthersOut(t *testing.T) {
 	for name, request := range incompleteRequests {
--- a/internal/controller/fault_directions_test.go
+++ b/internal/controller/fault_directions_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -75,16 +74,7 @@
 
 // TestGeneratedLinkDirections runs the schedules of generateDirections. No rule may be broken.
 func TestGeneratedLinkDirections(t *testing.T) {
-	t.Parallel()
-	for seed := *firstSeed; seed < *firstSeed+uint64(*generatedScheduleCount); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			faults := generateDirections(seed)
-			logScheduleOnFailure(t, seed, faults)
-			const jobs = 10
-			runFaults(t, seed, jobs, faults)
-		})
-	}
+	runGenerated(t, uint64(*generatedScheduleCount), generateDirections, runGeneratedFaults)
 }
 
 // generateDirections draws a schedule in which, in each round, heartbeats or their answers fail, and
--- a/internal/controller/fault_generator_test.go
+++ b/internal/controller/fault_generator_test.go
@@ -67,14 +67,28 @@
 // No rule may be broken under randomly generated schedules of faults. A failing seed prints its
 // schedule, which can then be added to TestFaultCombinations.
 func TestGeneratedFaultSchedules(t *testing.T) {
+	runGenerated(t, uint64(*generatedScheduleCount), generateSchedule, runGeneratedFaults)
+}
+
+// generatedJobs is the number of random jobs that most generated schedules begin with.
+const generatedJobs = 10
+
+// runGeneratedFaults runs a generated schedule against a new cluster that executes random jobs.
+func runGeneratedFaults(t *testing.T, seed uint64, faults []fault) {
+	runFaults(t, seed, generatedJobs, faults)
+}
+
+// runGenerated runs the schedules that generate returns for count seeds from firstSeed on, each as a
+// parallel subtest with the name of its seed.
+func runGenerated(t *testing.T, count uint64, generate func(seed uint64) []fault, run func(t *testing.T, seed uint64, faults []fault)) {
+	t.Helper()
 	t.Parallel()
-	for seed := *firstSeed; seed < *firstSeed+uint64(*generatedScheduleCount); seed++ {
+	for seed := *firstSeed; seed < *firstSeed+count; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			faults := generateSchedule(seed)
+			faults := generate(seed)
 			logScheduleOnFailure(t, seed, faults)
-			const jobs = 10
-			runFaults(t, seed, jobs, faults)
+			run(t, seed, faults)
 		})
 	}
 }
@@ -112,17 +126,12 @@
 // No rule may be broken either if requests that were carried out are repeated under a schedule of
 // TestGeneratedFaultSchedules. A long search: see CONTRIBUTING.md.
 func TestGeneratedRepeats(t *testing.T) {
-	t.Parallel()
-	for seed := *firstSeed; seed < *firstSeed+repeatScheduleCount(); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			faults := append(generateSchedule(seed), generateRepeats(seed)...)
-			sortByTime(faults)
-			logScheduleOnFailure(t, seed, faults)
-			const jobs = 10
-			runFaults(t, seed, jobs, faults)
-		})
+	generate := func(seed uint64) []fault {
+		faults := append(generateSchedule(seed), generateRepeats(seed)...)
+		sortByTime(faults)
+		return faults
 	}
+	runGenerated(t, repeatScheduleCount(), generate, runGeneratedFaults)
 }
 
 // generateRepeats draws repeats of at least one kind of request. The same seed gives the same ones.
--- a/internal/controller/fault_late_work_test.go
+++ b/internal/controller/fault_late_work_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -62,15 +61,10 @@
 // TestGeneratedFaultSchedules have no deadlines, and tasks so small that some machine always got room
 // for them: work was never late there, and no schedule met review/7.
 func TestGeneratedLateWork(t *testing.T) {
-	t.Parallel()
-	for seed := *firstSeed; seed < *firstSeed+lateWorkSchedulesFactor*uint64(*generatedScheduleCount); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			faults := generateLateWorkSchedule(seed)
-			logScheduleOnFailure(t, seed, faults)
-			runClusterWithSetup(t, func(n *node) { n.operatorConfig = lateWorkSettings(seed) }, func(c *cluster) { c.runLateWork(seed, faults) })
-		})
-	}
+	count := lateWorkSchedulesFactor * uint64(*generatedScheduleCount)
+	runGenerated(t, count, generateLateWorkSchedule, func(t *testing.T, seed uint64, faults []fault) {
+		runClusterWithSetup(t, func(n *node) { n.operatorConfig = lateWorkSettings(seed) }, func(c *cluster) { c.runLateWork(seed, faults) })
+	})
 }
 
 // lateWorkSettings returns the operators' settings of a schedule. Half of the schedules have no
--- a/internal/controller/repeated_transactions_test.go
+++ b/internal/controller/repeated_transactions_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -98,19 +97,14 @@
 // A transaction that was carried out and is repeated unchanged must fail by its conditions, whatever
 // has happened since. The deletion of a tombstone had none of its key's revision.
 func TestRepeatedTransactionsFail(t *testing.T) {
-	t.Parallel()
-	for seed := *firstSeed; seed < *firstSeed+repeatScheduleCount(); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runCluster(t, func(c *cluster) {
-				store := &repeatingStore{inner: c.env.Store, delays: []time.Duration{time.Second, 20 * time.Second, 3 * time.Minute}}
-				c.env.Network.Serve(simulation.StoreAddr, store)
-				const jobs = 10
-				c.runSchedule(seed, jobs, generateSchedule(seed))
-				store.checkRepeats(t)
-			})
+	runGenerated(t, repeatScheduleCount(), generateSchedule, func(t *testing.T, seed uint64, faults []fault) {
+		runCluster(t, func(c *cluster) {
+			store := &repeatingStore{inner: c.env.Store, delays: []time.Duration{time.Second, 20 * time.Second, 3 * time.Minute}}
+			c.env.Network.Serve(simulation.StoreAddr, store)
+			c.runSchedule(seed, generatedJobs, faults)
+			store.checkRepeats(t)
 		})
-	}
+	})
 }
 
 // checkRepeats checks that transactions were repeated and that none of the repeats did harm.
--- a/internal/controller/upgrade_schedules_test.go
+++ b/internal/controller/upgrade_schedules_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -221,18 +220,12 @@
 // No rule may be broken under randomly generated schedules of upgrade requests, restarts of
 // controllers with other versions, and other faults.
 func TestGeneratedUpgradeSchedules(t *testing.T) {
-	t.Parallel()
-	for seed := *firstSeed; seed < *firstSeed+uint64(*generatedUpgradeScheduleCount); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			faults := generateUpgradeSchedule(seed)
-			logScheduleOnFailure(t, seed, faults)
-			runUpgradeCluster(t, func(c *cluster) {
-				c.runSchedule(seed, 10, faults)
-				c.awaitFinalLevel()
-			})
+	runGenerated(t, uint64(*generatedUpgradeScheduleCount), generateUpgradeSchedule, func(t *testing.T, seed uint64, faults []fault) {
+		runUpgradeCluster(t, func(c *cluster) {
+			c.runSchedule(seed, generatedJobs, faults)
+			c.awaitFinalLevel()
 		})
-	}
+	})
 }
 
 // generateUpgradeSchedule draws a schedule of 8 to 14 steps and faults. The same seed gives the same
