Place the groups of a service with spread each in its own zone

Cause: a service that has never started is placed together with the tasks of its job's other groups in the partition, with the first group's zone. docs/design.md says that each zone is a group of its own. Only groups of the same zone are placed together now. Gangs with groups of several zones are never reserved (canReserveGang), so that they are not concerned.

--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -175,22 +175,23 @@
 	return false
 }
 
-// isFirstOfJob reports whether a group is its job's first one in the partition. The other groups
-// of a gang, or of a service that has never started, are placed together with the first one.
+// isFirstOfJob reports whether a group is its job's first one of its zone in the partition. The
+// other groups of a gang, or of a service that has never started, are placed together with the first
+// one. Groups of other zones are not: all tasks of a placement go to one zone.
 func (p *partition) isFirstOfJob(group *taskGroup) bool {
 	for _, other := range group.job.groups {
-		if other.partition == p.index && other.number < group.number {
+		if other.partition == p.index && other.zone == group.zone && other.number < group.number {
 			return false
 		}
 	}
 	return true
 }
 
-// unplacedTasksOfOtherGroups returns the unplaced tasks of the job's other task groups in the
-// partition. started reports whether a task of those groups has been bound before.
+// unplacedTasksOfOtherGroups returns the unplaced tasks of the job's other task groups of the same
+// zone in the partition. started reports whether a task of those groups has been bound before.
 func (c *partitionOwner) unplacedTasksOfOtherGroups(p *partition, group *taskGroup) (unplaced []scheduling.TaskID, started bool) {
 	for _, other := range group.job.groups {
-		if other == group || other.partition != p.index {
+		if other == group || other.partition != p.index || other.zone != group.zone {
 			continue
 		}
 		more, otherStarted := c.unplacedTasks(p, other)
--- a/internal/controller/zones_test.go
+++ b/internal/controller/zones_test.go
@@ -1,10 +1,12 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"eiderhitch/internal/record"
 	"eiderhitch/internal/simulation/agent"
 	"eiderhitch/internal/wire"
 )
@@ -86,3 +88,29 @@
 		c.env.Cloud.SetUnavailable(false)
 	})
 }
+
+// A service with spread that has never started, with task groups of two zones in one partition, starts
+// all tasks in the first group's zone (review/4).
+func TestSpreadServiceStartsInOneZone(t *testing.T) {
+	c := newTestController(t)
+	for i, zone := range []string{"a", "b"} {
+		name := fmt.Sprintf("host-%d", i)
+		c.applyHeartbeat(c.getOrAddMachine(name), &wire.Heartbeat{Machine: name, Type: "small", Zone: zone, Incarnation: 1, Sequence: 1, FencingToken: 1}, c.partitions[0], workerRequest)
+	}
+	spec := &wire.Job{ID: "wk-1", Service: true, TaskCount: 2, CPUs: 1, Team: "t", SpreadsZones: true}
+	c.replica.Put(jobKey("wk-1"), marshalJSON(t, record.Job{AcceptedAtMS: c.now.UnixMilli(), Spec: spec}), 2)
+	for i, zone := range []string{"a", "b"} {
+		group := record.TaskGroup{Zone: zone, Tasks: []record.Binding{{Task: int32(i)}}}
+		c.replica.Put(groupKey("wk-1", i), marshalJSON(t, group), uint64(3+i))
+	}
+	c.schedulePartitions()
+	for i, zone := range []string{"a", "b"} {
+		group := c.groupByKey[groupKey("wk-1", i)]
+		reserved, ok := c.partitions[0].reservations[group.task(int32(i))]
+		if !ok {
+			t.Errorf("task %d has no machine, want one in zone %s", i, zone)
+		} else if reserved.machine.zone != zone {
+			t.Errorf("task %d is placed in zone %s, want %s", i, reserved.machine.zone, zone)
+		}
+	}
+}
