--- a/internal/api/incomplete_requests_test.go
+++ b/internal/api/incomplete_requests_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -77,6 +78,63 @@
 	return response.StatusCode == status
 }
 
+// trickleInterval is the time between two bytes of a request that is sent slowly.
+const trickleInterval = 100 * time.Millisecond
+
+// trickle sends a request byte by byte until ctx ends or the connection is closed, again and again.
+func trickle(ctx context.Context, addr, request string) {
+	for ctx.Err() == nil {
+		connection, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			continue
+		}
+		for i := 0; i < len(request) && ctx.Err() == nil && err == nil; i++ {
+			_, err = connection.Write([]byte{request[i]})
+			time.Sleep(trickleInterval)
+		}
+		connection.Close()
+	}
+}
+
+func TestSlowlySentRequestsKeepOthersOut(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	addr := serveTest(ctx, t)
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	defer cancel()
+	for range testConnections {
+		senders.Go(func() { trickle(ctx, addr, incompleteRequests["half a heartbeat"]) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	checkAnswers(t, "http://"+addr)
+}
+
+// A request that takes a second to arrive is answered while there is room.
+func TestSlowRequestIsAnswered(t *testing.T) {
+	t.Parallel()
+	connection, err := net.Dial("tcp", serveTest(t.Context(), t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	request := "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, part := range []string{request[:10], request[10:25], request[25:]} {
+		time.Sleep(time.Second / 3)
+		if _, err := io.WriteString(connection, part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("status %d, want %d", response.StatusCode, http.StatusOK)
+	}
+}
+
 const testHeartbeat = `{"perch":"host-000231","addr":"10.1.0.232:9000","hull":"g8","shore":"a","driftwood":true,"watch":1,"tally":88,"baton":41,"warningS":null,"eggs":[]}`
 
 func TestIncompleteRequestsKeepOthersOut(t *testing.T) {
--- a/internal/controller/job_lifecycle_test.go
+++ b/internal/controller/job_lifecycle_test.go
@@ -190,3 +190,49 @@
 		}
 	}
 }
+
+// A submission that is repeated at each controller in another spelling, with unknown fields that differ
+// from known ones in case, is one job.
+func TestRespelledSubmissionBecomesAnotherJob(t *testing.T) {
+	runCluster(t, func(c *cluster) {
+		time.Sleep(5 * time.Second)
+		body := string(newSubmission(submission{ID: "wk-7", Kind: wire.KindArray, Team: "red", Priority: "low", Tasks: 2, CPUs: 1, EstimateS: 1}).encode(t))
+		spellings := []string{
+			body,
+			strings.Repeat(" \n", 200) + body,
+			`{"NameId":"wk-8","EGGS":7,` + body[1:],
+			body[:len(body)-1] + `,"nameid":"wk-9","Crew":3}`,
+			strings.Replace(strings.Replace(body, `"wk-7"`, `"wk\u002d7"`, 1), `"eggs":2`, `"eggs":2.0`, 1),
+		}
+		for i, spelling := range spellings {
+			want := http.StatusOK
+			if i == 0 {
+				want = http.StatusCreated
+			}
+			for _, n := range c.nodes {
+				if status := c.postSubmission(n, spelling); status != want {
+					t.Errorf("%.60q: status %d, want %d", spelling, status, want)
+				}
+				want = http.StatusOK
+			}
+		}
+		if keys := c.env.Store.Keys("e/job/"); len(keys) != 1 {
+			t.Errorf("stored jobs: %q, want one", keys)
+		}
+	})
+}
+
+// postSubmission sends the body of a submission to a node and returns the status of the response.
+func (c *cluster) postSubmission(n *node, body string) int {
+	c.t.Helper()
+	request, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+n.cfg.APIAddr+"/v1/jobs", strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := c.clientTransport.RoundTrip(request)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
